--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -3,7 +3,7 @@
 
 mod wire;
 
-use hazeljunction::{Action, Event, ListKind, Router};
+use fernslip::{Action, Event, ListKind, Router};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -2,7 +2,7 @@
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
-use hazeljunction::*;
+use fernslip::*;
 use serde_json::{json, Value};
 
 /// Names that events use in place of numbers.
--- a/adapter/tests/wire.rs
+++ b/adapter/tests/wire.rs
@@ -25,7 +25,7 @@
 }
 
 fn run(input: &str) -> (String, String, bool) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_hazeljunction-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_fernslip-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! hazeljunction decides, for a router, where objects are served, kept and filled from.
+//! fernslip decides, for a router, where objects are served, kept and filled from.
 //!
 //! It does no input or output. A router hands [`Router::handle`] one [`Event`] at a time, with its clock, and carries
 //! out the [`Action`]s that come back, in their order and before the next event. Equal settings, seed and events give
@@ -22,7 +22,7 @@
 //! # Example
 //!
 //! ```
-//! use hazeljunction::*;
+//! use fernslip::*;
 //!
 //! let settings = Settings {
 //!     zones: vec!["hub".into(), "branch".into()],
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,4 +1,4 @@
-//! Every decision of hazeljunction. Its interface (settings, events, actions) is the one file `src/api.rs`;
+//! Every decision of fernslip. Its interface (settings, events, actions) is the one file `src/api.rs`;
 //! `src/filter.rs` is the counting filter as a plain data structure.
 //!
 //! Reads in this order: constants, state, events in the order in which a request lives, guards.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A small bench-free set-up: one location of three caches, two parents, one origin.
 #![allow(dead_code)]
-use hazeljunction::*;
+use fernslip::*;
 
 pub fn class() -> Class {
     Class {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1,7 +1,7 @@
 //! One scenario for each failure that a day showed. No figure or machine of those days is used.
 mod common;
 use common::*;
-use hazeljunction::*;
+use fernslip::*;
 
 /// Incident "time-outs ejected crowded caches": a cache that goes on answering is not ejected for slow ones.
 #[test]
--- a/tests/filter.rs
+++ b/tests/filter.rs
@@ -1,6 +1,6 @@
 //! The filter as a data structure.
 
-use hazeljunction::filter::*;
+use fernslip::filter::*;
 
 #[test]
 fn adds_once_and_removes_only_what_shows() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The five rules and the mechanism, through the public interface.
 mod common;
 use common::*;
-use hazeljunction::*;
+use fernslip::*;
 
 #[test]
 fn every_request_gets_one_answer_and_nothing_after_it() {
