Add the front on real sockets and the module's blocking facade

The first program that serves: MessagePack-RPC clients, RESP cache nodes, the event bus, peer datagrams. The facade (pick, report, tick) hides events and actions; settings are parsed in one place, src/json.rs, for the adapter and the front.

--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -3,8 +3,9 @@
 
 mod wire;
 
+use fernslip::json::{self, Names};
 use fernslip::{Action, Event, ListKind, Router};
-use serde_json::{json, Value};
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 
@@ -14,7 +15,7 @@
 }
 
 fn main() -> io::Result<()> {
-    let mut routers: BTreeMap<i64, (Router, wire::Names)> = BTreeMap::new();
+    let mut routers: BTreeMap<i64, (Router, Names)> = BTreeMap::new();
     let mut rosters: BTreeMap<u64, Value> = BTreeMap::new();
     let mut now = 0.0;
     let stdout = io::stdout();
@@ -42,7 +43,8 @@
                 out.write_all(b"{\"cmd\":\"ACK\"}\n")?;
                 out.flush()?;
             }
-            "BORN" => match wire::settings(&v["info"])
+            "BORN" => match json::settings(&v["info"])
+                .map_err(|e| e.to_string())
                 .and_then(|(s, n)| Ok((Router::new(s, wire::seed(&v)).map_err(|e| e.to_string())?, n)))
             {
                 Ok(r) => {
@@ -50,7 +52,10 @@
                 }
                 Err(e) => {
                     eprintln!("line {at}: {e}");
-                    serde_json::to_writer(&mut out, &json!({"cmd": "PANIC", "i": i, "words": e}))?;
+                    serde_json::to_writer(
+                        &mut out,
+                        &serde_json::json!({"cmd": "PANIC", "i": i, "words": e}),
+                    )?;
                     out.write_all(b"\n")?;
                 }
             },
--- /dev/null
+++ b/front/src/bus.rs
@@ -0,0 +1,182 @@
+//! The event bus: the list of machines and purges, as numbered events.
+
+use crate::buffer::Buffer;
+use crate::log::Reason;
+use crate::Shared;
+use fernslip::json::{self, JsonError, Names};
+use fernslip::{CacheId, Entry, ListKind, ObjectId, Phase};
+use may::net::TcpStream;
+use serde_json::Value;
+use std::io::{ErrorKind, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const CONNECT: Duration = Duration::from_secs(1);
+/// A line comes each second; without one for so long the connection is dead.
+const SILENCE: Duration = Duration::from_millis(3500);
+const RETRY: Duration = Duration::from_millis(200);
+/// The whole list of the largest deployment is a small part of this.
+const MOST_LINE: usize = 4 << 20;
+
+/// One event, read.
+#[derive(Debug)]
+pub enum Event {
+    /// The machines that changed, with their addresses, or all of them.
+    List {
+        /// All of them.
+        full: bool,
+        /// The machines; an address that is none stands for an entry that can't be used.
+        servers: Vec<(Entry, Option<SocketAddr>)>,
+    },
+    /// A purge, of an object or with `None` of a group.
+    Purge {
+        /// The object.
+        object: Option<ObjectId>,
+        /// The group.
+        group: u64,
+        /// Unix time of it.
+        unix_ms: f64,
+    },
+    /// Of a kind that this front doesn't know.
+    Other,
+}
+
+fn server(v: &Value, names: &Names) -> Result<(Entry, Option<SocketAddr>), JsonError> {
+    let place = |all: &[String], v: &Value| v.as_str().and_then(|n| all.iter().position(|x| x == n));
+    let entry = Entry {
+        cache: CacheId::from(json::text(v, "id")?),
+        weight: json::opt(v, "weight")?,
+        zone: place(&names.zones, &v["zone"]),
+        kind: place(&names.kinds, &v["kind"]),
+        cell: v["cell"].as_i64().unwrap_or(0),
+        born_ms: json::opt(v, "started_ms")?,
+        phase: match json::text(v, "state")? {
+            "Ready" => Phase::In,
+            "Terminating" => Phase::Draining,
+            "Gone" => Phase::Out,
+            other => return Err(json::unknown("state", other)),
+        },
+    };
+    Ok((entry, v["addr"].as_str().and_then(|a| a.parse().ok())))
+}
+
+/// Reads an event; `born_ms` of its entries is still Unix time.
+pub fn event(v: &Value, names: &Names) -> Result<Event, JsonError> {
+    let (list, ban) = (&v["topology"], &v["ban"]);
+    if list.is_object() {
+        let servers =
+            json::list(list, "servers")?.iter().map(|s| server(s, names)).collect::<Result<_, _>>()?;
+        return Ok(Event::List { full: list["full"].as_bool().unwrap_or(false), servers });
+    }
+    if ban.is_object() {
+        let object = match &ban["url"] {
+            Value::Null => None,
+            _ => Some(ObjectId(json::hex(ban, "url")?)),
+        };
+        let group = if object.is_some() { json::opt(ban, "tag")? } else { json::num(ban, "tag")? };
+        return Ok(Event::Purge { object, group: group as u64, unix_ms: json::num(ban, "ts")? });
+    }
+    Ok(Event::Other)
+}
+
+/// Hands an event to the module and to the connections.
+pub fn apply(front: &Shared, event: Event) {
+    let (clock, dispatcher) = (&front.clock, &front.dispatcher);
+    match event {
+        Event::Other => {}
+        Event::Purge { object, group, unix_ms } => {
+            let now = clock.now();
+            dispatcher.purged(now, object, group, now - clock.from_unix(unix_ms));
+        }
+        Event::List { full, servers } => {
+            let mut entries = Vec::new();
+            for (mut e, addr) in servers {
+                e.born_ms = clock.born(e.born_ms);
+                match (e.phase, addr) {
+                    (Phase::Out, _) => front.upstream.drop_node(&e.cache),
+                    (_, Some(addr)) => front.upstream.know(e.cache.clone(), addr, e.born_ms),
+                    (_, None) => front.log.line(format!("bus: {} has no address", e.cache.0)),
+                }
+                entries.push(e);
+            }
+            if full {
+                let ids: Vec<CacheId> = entries.iter().map(|e| e.cache.clone()).collect();
+                front.upstream.keep_only(&ids);
+            }
+            dispatcher.list(clock.now(), if full { ListKind::Full } else { ListKind::Delta }, entries);
+            if full {
+                front.listed.store(true, std::sync::atomic::Ordering::Release);
+            }
+        }
+    }
+}
+
+/// One line of the bus. Events come in order; one that is known already is passed over, and a gap ends the
+/// connection, so that all that is missing is asked for again.
+fn line(front: &Shared, offset: &mut u64, text: &[u8]) -> Result<(), Reason> {
+    if text.iter().all(u8::is_ascii_whitespace) {
+        return Ok(());
+    }
+    let v: Value = serde_json::from_slice(text).map_err(|_| Reason::Malformed)?;
+    if let Some(last) = v.as_u64() {
+        return if last > *offset { Err(Reason::Gap) } else { Ok(()) };
+    }
+    let number = v["offset"].as_u64().ok_or(Reason::Malformed)?;
+    if number <= *offset {
+        return Ok(());
+    }
+    // Its number counts as had even where it can't be read: else the same event would come for ever.
+    *offset = number;
+    match event(&v, &front.names) {
+        Ok(e) => apply(front, e),
+        Err(e) => front.log.line(format!("bus: event {number}: {e}")),
+    }
+    Ok(())
+}
+
+fn follow(front: &Shared, addr: SocketAddr, offset: &mut u64) -> Reason {
+    let mut stream = match TcpStream::connect_timeout(&addr, CONNECT) {
+        Ok(s) => s,
+        Err(e) if e.kind() == ErrorKind::TimedOut => return Reason::ConnectTimeout,
+        Err(_) => return Reason::Refused,
+    };
+    let asked = stream.set_read_timeout(Some(SILENCE)).and_then(|()| writeln!(stream, "from {offset}"));
+    if asked.is_err() {
+        return Reason::Reset;
+    }
+    let mut buffer = Buffer::default();
+    let mut seen = 0;
+    loop {
+        match buffer.read_from(&mut stream) {
+            Ok(0) => return Reason::PeerClosed,
+            Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {
+                return Reason::Silent
+            }
+            Err(_) => return Reason::Reset,
+        }
+        while let Some(at) = buffer.data()[seen..].iter().position(|b| *b == b'\n') {
+            let end = seen + at;
+            if let Err(why) = line(front, offset, &buffer.data()[..end]) {
+                return why;
+            }
+            buffer.consume(end + 1);
+            seen = 0;
+        }
+        seen = buffer.data().len();
+        if seen > MOST_LINE {
+            return Reason::Malformed;
+        }
+    }
+}
+
+/// Follows the bus for good.
+pub fn run(front: &Arc<Shared>, addr: SocketAddr, mut offset: u64) {
+    loop {
+        let why = follow(front, addr, &mut offset);
+        front.log.line(format!("end kind=bus addr={addr} reason={} offset={offset}", why.code()));
+        may::coroutine::sleep(RETRY);
+    }
+}
--- /dev/null
+++ b/front/src/config.rs
@@ -0,0 +1,139 @@
+//! What a front is told when it starts.
+
+use fernslip::json::{self, JsonError, Names};
+use fernslip::{Settings, SettingsError};
+use serde_json::Value;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// Requests open at once: more than any deployment asks of one core, few enough for its memory.
+const MOST_OPEN: u32 = 2048;
+
+/// All of it, checked.
+pub struct Config {
+    /// The front's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors it may hold.
+    pub sockets: usize,
+    /// Where peers' messages come in; `None`: it has no peers.
+    pub peer_listen: Option<SocketAddr>,
+    /// All fronts of the tier, by their numbers.
+    pub peers: Vec<SocketAddr>,
+    /// Reaches all of them.
+    pub peers_all: Option<SocketAddr>,
+    /// The event bus.
+    pub bus: SocketAddr,
+    /// The last event known.
+    pub offset: u64,
+    /// The events up to it.
+    pub batch: Vec<Value>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names in them.
+    pub names: Names,
+    /// Attempts on one connection.
+    pub streams: usize,
+    /// Time for a connection to come up.
+    pub connect_timeout: Duration,
+    /// Idle connections are closed after this.
+    pub idle: Duration,
+}
+
+/// Why a front cannot start with its configuration.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// The file cannot be read.
+    Read(std::io::Error),
+    /// It is not JSON.
+    Parse(serde_json::Error),
+    /// A field is wrong.
+    Field(JsonError),
+    /// A field is no address.
+    Address(String),
+    /// The settings are impossible.
+    Settings(SettingsError),
+    /// `RELAY_CONFIG` is not set.
+    NoFile,
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigError::Read(e) => write!(f, "configuration: {e}"),
+            ConfigError::Parse(e) => write!(f, "configuration: not JSON: {e}"),
+            ConfigError::Field(e) => write!(f, "configuration: {e}"),
+            ConfigError::Address(key) => write!(f, "configuration: {key} is no address"),
+            ConfigError::Settings(e) => write!(f, "configuration: {e}"),
+            ConfigError::NoFile => f.write_str("configuration: RELAY_CONFIG names no file"),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+impl From<JsonError> for ConfigError {
+    fn from(e: JsonError) -> Self {
+        ConfigError::Field(e)
+    }
+}
+
+fn address(v: &Value, key: &str) -> Result<SocketAddr, ConfigError> {
+    v.as_str().and_then(|a| a.parse().ok()).ok_or_else(|| ConfigError::Address(key.into()))
+}
+
+fn millis(v: &Value, key: &str) -> Result<Duration, JsonError> {
+    json::num(v, key).map(|ms| Duration::from_secs_f64((ms / 1000.0).clamp(0.001, 3600.0)))
+}
+
+impl Config {
+    /// From the file that the environment names.
+    pub fn from_env() -> Result<Config, ConfigError> {
+        let file = std::env::var_os("RELAY_CONFIG").ok_or(ConfigError::NoFile)?;
+        Config::read(Path::new(&file))
+    }
+
+    /// From a file.
+    pub fn read(file: &Path) -> Result<Config, ConfigError> {
+        let text = std::fs::read_to_string(file).map_err(ConfigError::Read)?;
+        Config::parse(&serde_json::from_str(&text).map_err(ConfigError::Parse)?)
+    }
+
+    /// From the JSON value.
+    pub fn parse(v: &Value) -> Result<Config, ConfigError> {
+        let (mut settings, names) = json::settings(&v["settings"])?;
+        settings.check().map_err(ConfigError::Settings)?;
+        settings.max_open = settings.max_open.min(MOST_OPEN);
+        let per = &v["settings"]["permissions"];
+        let optional = |key: &str| match &v[key] {
+            Value::Null => Ok(None),
+            a => address(a, key).map(Some),
+        };
+        let peers = match &v["peers"] {
+            Value::Null => Vec::new(),
+            _ => json::list(v, "peers")?.iter().map(|p| address(p, "peers")).collect::<Result<_, _>>()?,
+        };
+        Ok(Config {
+            name: json::text(v, "name")?.to_string(),
+            listen: address(&v["listen"], "listen")?,
+            seed: json::hex(v, "seed")?,
+            sockets: json::num(&v["limits"], "sockets")? as usize,
+            peer_listen: optional("peer_listen")?,
+            peers,
+            peers_all: optional("peers_all")?,
+            bus: address(&v["bus"], "bus")?,
+            offset: json::num(&v["known"], "offset")? as u64,
+            batch: json::list(&v["known"], "batch")?.to_vec(),
+            streams: (json::num(per, "streams_per_conn")? as usize).max(1),
+            connect_timeout: millis(per, "connect_timeout_ms")?,
+            idle: millis(per, "conn_idle_ms")?,
+            settings,
+            names,
+        })
+    }
+}
--- /dev/null
+++ b/front/src/peers.rs
@@ -0,0 +1,56 @@
+//! Short messages between the fronts of a tier, as datagrams.
+
+use crate::Shared;
+use may::net::UdpSocket;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// No message is longer.
+const MOST_BYTES: usize = 256;
+
+/// This front's end of it.
+pub struct Peers {
+    socket: UdpSocket,
+    all: Option<SocketAddr>,
+    each: Vec<SocketAddr>,
+}
+
+impl Peers {
+    /// Takes the address where messages come in.
+    pub fn bind(at: SocketAddr, each: Vec<SocketAddr>, all: Option<SocketAddr>) -> std::io::Result<Peers> {
+        Ok(Peers { socket: UdpSocket::bind(at)?, all, each })
+    }
+
+    fn send(&self, to: Option<&SocketAddr>, data: &[u8]) {
+        // Straight to the socket, which never blocks: a datagram that finds no room is lost, as any may be.
+        if let Some(to) = to.filter(|_| data.len() <= MOST_BYTES) {
+            let _ = self.socket.inner().send_to(data, to);
+        }
+    }
+
+    /// To one of them.
+    pub fn tell(&self, to: u32, data: &[u8]) {
+        self.send(self.each.get(to as usize), data);
+    }
+
+    /// To all of them.
+    pub fn tell_all(&self, data: &[u8]) {
+        self.send(self.all.as_ref(), data);
+    }
+
+    /// Hands on what comes, for good. What no peer sent is passed over.
+    pub fn run(&self, front: &Arc<Shared>) {
+        let mut data = [0; MOST_BYTES + 1];
+        loop {
+            let Ok((n, from)) = self.socket.recv_from(&mut data) else {
+                // An error of one datagram, such as a port that nobody has: the next may be fine.
+                may::coroutine::yield_now();
+                continue;
+            };
+            let sender = self.each.iter().position(|p| *p == from);
+            if let Some(slot) = sender.filter(|_| n <= MOST_BYTES) {
+                front.dispatcher.heard(front.clock.now(), slot as u32, data[..n].to_vec());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/front/src/relay.rs
@@ -0,0 +1,105 @@
+//! A request's life: picked, tried as often as the module says, answered.
+
+use crate::clock::Clock;
+use crate::upstream::{Reply, Upstream};
+use fernslip::facade::{Attempt, Decision, Dispatcher, Ended, Host};
+use fernslip::{Ending, Request};
+use std::time::Instant;
+
+/// A client's request in the words that are passed on unchanged.
+#[derive(Debug)]
+pub struct Ask {
+    /// The request's id.
+    pub trace: String,
+    /// Its class.
+    pub class: String,
+    /// The object.
+    pub item: String,
+    /// The part of it.
+    pub chunk: String,
+    /// The tag of the copy that the client holds.
+    pub known: Option<String>,
+    /// What a write brings.
+    pub body: Vec<u8>,
+}
+
+/// The final answer.
+#[derive(Debug)]
+pub enum Answer {
+    /// Served.
+    Served(Reply),
+    /// Refused, with the time after which the client may come back; 0: no advice.
+    Refused(f64),
+    /// Failed.
+    Failed,
+    /// The client left: none.
+    None,
+}
+
+fn fields(ask: &Ask, a: &Attempt, left_ms: f64) -> String {
+    let mut f = format!(
+        "cls={},item={},chunk={},limit={}",
+        ask.class,
+        ask.item,
+        ask.chunk,
+        (left_ms.floor() as u64).max(1)
+    );
+    if let Some(source) = &a.source {
+        f += &format!(",via={}", source.0);
+    }
+    if a.rank > 0 {
+        f += &format!(",tier={}", a.rank);
+    }
+    // Cut, not rounded: a copy that is a part of a millisecond too old is too old.
+    if a.age_ms > 0.0 {
+        f += &format!(",fresh={}", (a.age_ms.floor() as u64).max(1));
+    }
+    match (a.join, a.renew) {
+        (true, true) => f += ",opts=j+r",
+        (true, false) => f += ",opts=j",
+        (false, true) => f += ",opts=r",
+        (false, false) => {}
+    }
+    if let Some(tag) = &ask.known {
+        f += &format!(",known={tag}");
+    }
+    f
+}
+
+/// Sees a request through to its final answer.
+pub fn serve<H: Host>(
+    dispatcher: &Dispatcher<H>,
+    upstream: &Upstream,
+    clock: &Clock,
+    request: Request,
+    ask: &Ask,
+) -> Answer {
+    let mut decision = dispatcher.pick(clock.now(), request);
+    let mut reply = None;
+    loop {
+        match decision {
+            Decision::Try(a) => {
+                let sent = Instant::now();
+                let deadline = sent + clock.until(a.until_ms);
+                let line = fields(ask, &a, a.until_ms - clock.now());
+                let end = upstream.run(&a, &ask.trace, &line, &ask.body, deadline);
+                if end.ending == Ending::Completed {
+                    reply = end.reply;
+                }
+                let ended = Ended {
+                    id: a.id,
+                    attempt: a.number,
+                    cache: a.cache,
+                    ending: end.ending,
+                    elapsed_ms: sent.elapsed().as_secs_f64() * 1000.0,
+                    detail: end.detail,
+                    fill_wait_ms: end.fill_wait_ms,
+                };
+                decision = dispatcher.report(clock.now(), ended);
+            }
+            Decision::Refuse { retry_after_ms } => return Answer::Refused(retry_after_ms),
+            Decision::Fail => return Answer::Failed,
+            Decision::Over => return reply.map_or(Answer::None, Answer::Served),
+        }
+    }
+}
--- /dev/null
+++ b/src/facade.rs
@@ -0,0 +1,325 @@
+//! The module in blocking style: [`Dispatcher::pick`], [`Dispatcher::report`], [`Dispatcher::tick`].
+//!
+//! A front hands a request to `pick` and is told what to do with it; it reports how each attempt ended and is told
+//! what to do next. Events and actions stay in here. There are no sockets, threads or clocks: time is passed in,
+//! and what cannot wait for a return value goes to the front's [`Host`].
+
+use crate::api::*;
+use crate::policy::Router;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// What the dispatcher asks of the front that hosts it. It holds no lock while it calls these.
+pub trait Host: Send + Sync {
+    /// A place to wait in, for the caller of `pick` or `report` whose request is held.
+    fn waiter(&self) -> Arc<dyn Waiter>;
+    /// Calls an attempt off; its end is still to be reported. [`Attempt::called_off`] is set already.
+    fn cancel(&self, id: RequestId, attempt: u32);
+    /// Sends a message to one peer; it may be lost.
+    fn tell(&self, to: u32, data: &[u8]);
+    /// Sends a message to all peers; it may be lost.
+    fn tell_all(&self, data: &[u8]);
+    /// A line for the operators.
+    fn log(&self, line: &str);
+}
+
+/// A place to wait in, of the front's own kind of thread.
+pub trait Waiter: Send + Sync {
+    /// Returns once [`Waiter::wake`] was called, be it before; it may also return early.
+    fn wait(&self);
+    /// Ends the wait.
+    fn wake(&self);
+}
+
+/// One attempt that is to be made.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// The request.
+    pub id: RequestId,
+    /// Number of the attempt in its request, from 0.
+    pub number: u32,
+    /// Where it goes.
+    pub cache: CacheId,
+    /// Where a miss is filled from; `None`: nowhere.
+    pub source: Option<CacheId>,
+    /// Time at which it is given up.
+    pub until_ms: f64,
+    /// 0: pass through; 1 to 3: keep at that rank.
+    pub rank: u8,
+    /// Oldest copy that will do; 0: the class's fresh time.
+    pub age_ms: f64,
+    /// Join a fill under way.
+    pub join: bool,
+    /// Renew an ageing copy behind the answer.
+    pub renew: bool,
+    /// Set once the attempt was called off, be it before the front has begun with it.
+    pub called_off: Arc<AtomicBool>,
+}
+
+/// What to do with a request now.
+#[derive(Clone, Debug)]
+pub enum Decision {
+    /// Make this attempt and report its end.
+    Try(Attempt),
+    /// Final answer: refused; trying again is harmless.
+    Refuse {
+        /// When the client may come back; 0: no advice.
+        retry_after_ms: f64,
+    },
+    /// Final answer: failed; promises nothing.
+    Fail,
+    /// Nothing is owed any more: it was served, or the client left.
+    Over,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// The request.
+    pub id: RequestId,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Where it went.
+    pub cache: CacheId,
+    /// How it ended.
+    pub ending: Ending,
+    /// Time since it was sent.
+    pub elapsed_ms: f64,
+    /// How it was filled or why not; 0: not told.
+    pub detail: u8,
+    /// Time to the source's first byte or failure, where told.
+    pub fill_wait_ms: f64,
+}
+
+#[derive(Default)]
+struct Open {
+    sent: u32,
+    over: bool,
+    decided: Option<Decision>,
+    waiter: Option<Arc<dyn Waiter>>,
+    called_off: Option<Arc<AtomicBool>>,
+}
+
+struct Due(f64, u64);
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.0.total_cmp(&other.0).then(self.1.cmp(&other.1))
+    }
+}
+
+struct Inner {
+    router: Router,
+    open: HashMap<RequestId, Open>,
+    timers: BinaryHeap<Reverse<Due>>,
+}
+
+enum Effect {
+    Wake(Arc<dyn Waiter>),
+    Cancel(RequestId, u32),
+    Tell(u32, Vec<u8>),
+    TellAll(Vec<u8>),
+    Log(String),
+}
+
+/// The decisions of one router, for callers that wait for them.
+pub struct Dispatcher<H: Host> {
+    inner: Mutex<Inner>,
+    host: H,
+}
+
+impl<H: Host> Dispatcher<H> {
+    /// A dispatcher that knows no caches yet.
+    pub fn new(settings: Settings, seed: u64, host: H) -> Result<Self, SettingsError> {
+        let router = Router::new(settings, seed)?;
+        let inner = Inner { router, open: HashMap::new(), timers: BinaryHeap::new() };
+        Ok(Dispatcher { inner: Mutex::new(inner), host })
+    }
+
+    /// The front that hosts it.
+    pub fn host(&self) -> &H {
+        &self.host
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a request and tells what to do with it; waits where the module holds it.
+    pub fn pick(&self, now_ms: f64, request: Request) -> Decision {
+        let id = request.id;
+        {
+            let mut inner = self.lock();
+            // An id that is open already names another request: this one can't be told from it. Guards against
+            // a client that reuses ids; without it the first would lose its answer.
+            if inner.open.contains_key(&id) {
+                return Decision::Refuse { retry_after_ms: 0.0 };
+            }
+            inner.open.insert(id, Open::default());
+        }
+        self.feed(now_ms, Event::Request(request));
+        self.decided(id)
+    }
+
+    /// Tells how an attempt ended and what to do with its request now; waits where the module holds it.
+    pub fn report(&self, now_ms: f64, ended: Ended) -> Decision {
+        let Ended { id, attempt, cache, ending, elapsed_ms, detail, fill_wait_ms } = ended;
+        let over = {
+            let mut inner = self.lock();
+            let Some(open) = inner.open.get_mut(&id) else { return Decision::Over };
+            open.over |= ending == Ending::Completed;
+            open.called_off = None;
+            open.over
+        };
+        let outcome = Outcome { id, attempt, cache, ending, elapsed_ms, over, detail, fill_wait_ms };
+        self.feed(now_ms, Event::Outcome(outcome));
+        self.decided(id)
+    }
+
+    /// The client of a request left: nothing is owed for it.
+    pub fn gone(&self, now_ms: f64, id: RequestId) {
+        let waiter = match self.lock().open.get_mut(&id) {
+            Some(open) if !open.over => {
+                open.over = true;
+                open.decided = Some(Decision::Over);
+                open.waiter.take()
+            }
+            _ => return,
+        };
+        self.feed(now_ms, Event::Withdrawn { id });
+        if let Some(w) = waiter {
+            w.wake();
+        }
+    }
+
+    /// Runs what is due; when the next is, if any.
+    pub fn tick(&self, now_ms: f64) -> Option<f64> {
+        loop {
+            let due = {
+                let mut inner = self.lock();
+                match inner.timers.peek() {
+                    Some(Reverse(d)) if d.0 <= now_ms => inner.timers.pop().map(|d| d.0 .1),
+                    other => return other.map(|d| d.0 .0),
+                }
+            };
+            if let Some(token) = due {
+                self.feed(now_ms, Event::Timer { token });
+            }
+        }
+    }
+
+    /// News of the caches.
+    pub fn list(&self, now_ms: f64, kind: ListKind, entries: Vec<Entry>) {
+        self.feed(now_ms, Event::Fleet { kind, entries });
+    }
+
+    /// An object, or with `None` a whole group, was purged so long ago.
+    pub fn purged(&self, now_ms: f64, object: Option<ObjectId>, group: u64, age_ms: f64) {
+        self.feed(now_ms, Event::Purged { object, group, age_ms });
+    }
+
+    /// A message of a peer.
+    pub fn heard(&self, now_ms: f64, from: u32, data: Vec<u8>) {
+        self.feed(now_ms, Event::Peer { from, data });
+    }
+
+    /// How many requests are open.
+    pub fn open(&self) -> usize {
+        self.lock().open.len()
+    }
+
+    fn feed(&self, now_ms: f64, event: Event) {
+        let mut actions = Vec::new();
+        let mut effects = Vec::new();
+        {
+            let mut inner = self.lock();
+            inner.router.handle(now_ms, event, &mut actions);
+            for a in actions {
+                inner.carry_out(now_ms, a, &mut effects);
+            }
+        }
+        for e in effects {
+            match e {
+                Effect::Wake(w) => w.wake(),
+                Effect::Cancel(id, attempt) => self.host.cancel(id, attempt),
+                Effect::Tell(to, data) => self.host.tell(to, &data),
+                Effect::TellAll(data) => self.host.tell_all(&data),
+                Effect::Log(line) => self.host.log(&line),
+            }
+        }
+    }
+
+    /// What was decided on a request; waits for it.
+    fn decided(&self, id: RequestId) -> Decision {
+        loop {
+            let waiter = {
+                let mut inner = self.lock();
+                let Some(open) = inner.open.get_mut(&id) else { return Decision::Over };
+                let done = if open.over { Some(Decision::Over) } else { open.decided.take() };
+                if let Some(d) = done {
+                    if !matches!(d, Decision::Try(_)) {
+                        inner.open.remove(&id);
+                    }
+                    return d;
+                }
+                open.waiter.get_or_insert_with(|| self.host.waiter()).clone()
+            };
+            waiter.wait();
+        }
+    }
+}
+
+impl Inner {
+    fn decide(&mut self, id: RequestId, decision: Decision, effects: &mut Vec<Effect>) {
+        if let Some(open) = self.open.get_mut(&id).filter(|o| !o.over) {
+            open.decided = Some(decision);
+            effects.extend(open.waiter.take().map(Effect::Wake));
+        }
+    }
+
+    fn carry_out(&mut self, now_ms: f64, action: Action, effects: &mut Vec<Effect>) {
+        match action {
+            Action::Get { id, cache, source, until_ms, rank, age_ms, join, renew } => {
+                let Some(open) = self.open.get_mut(&id) else { return };
+                let number = open.sent;
+                open.sent += 1;
+                let called_off = Arc::new(AtomicBool::new(false));
+                open.called_off = Some(called_off.clone());
+                let source = Some(source).filter(|s| *s != cache);
+                let attempt =
+                    Attempt { id, number, cache, source, until_ms, rank, age_ms, join, renew, called_off };
+                self.decide(id, Decision::Try(attempt), effects);
+            }
+            Action::Refuse { id, retry_after_ms } => {
+                self.decide(id, Decision::Refuse { retry_after_ms }, effects)
+            }
+            Action::Fail { id } => self.decide(id, Decision::Fail, effects),
+            Action::Cancel { id, attempt } => {
+                let flag = self.open.get(&id).filter(|o| o.sent == attempt + 1);
+                if let Some(flag) = flag.and_then(|o| o.called_off.as_ref()) {
+                    flag.store(true, Ordering::Release);
+                    effects.push(Effect::Cancel(id, attempt));
+                }
+            }
+            Action::Timer { delay_ms, token } => self.timers.push(Reverse(Due(now_ms + delay_ms, token))),
+            Action::Tell { to, data } => effects.push(Effect::Tell(to, data)),
+            Action::TellAll { data } => effects.push(Effect::TellAll(data)),
+            Action::Log(line) => effects.push(Effect::Log(line)),
+            // Fronts that use this facade are sent the list's changes without asking.
+            Action::Subscribe => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/json.rs
@@ -0,0 +1,179 @@
+//! What the platform writes as JSON wherever it starts a router: the settings, and how their fields are read.
+//! The simulator's first message and a front's configuration hold the same object.
+
+use crate::api::*;
+use serde_json::Value;
+use std::fmt;
+
+/// Why a JSON value could not be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JsonError {
+    /// A field is missing or of another type.
+    Field {
+        /// Which field.
+        key: String,
+        /// What it is not.
+        wanted: &'static str,
+    },
+    /// A word that stands for nothing known.
+    Unknown {
+        /// Which field.
+        key: String,
+        /// The word.
+        value: String,
+    },
+}
+
+impl fmt::Display for JsonError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            JsonError::Field { key, wanted } => write!(f, "{key} is missing or {wanted}"),
+            JsonError::Unknown { key, value } => write!(f, "{key} {value:?} is unknown"),
+        }
+    }
+}
+
+impl std::error::Error for JsonError {}
+
+/// The error for a word that stands for nothing known.
+pub fn unknown(key: &str, value: &str) -> JsonError {
+    JsonError::Unknown { key: key.into(), value: value.into() }
+}
+
+fn field<T>(found: Option<T>, key: &str, wanted: &'static str) -> Got<T> {
+    found.ok_or_else(|| JsonError::Field { key: key.into(), wanted })
+}
+
+/// Names that events use in place of numbers.
+pub struct Names {
+    /// Zones, in the order of their numbers.
+    pub zones: Vec<String>,
+    /// Kinds of machine.
+    pub kinds: Vec<String>,
+    /// Classes of requests.
+    pub classes: Vec<String>,
+}
+
+/// A value read, or why not.
+pub type Got<T> = Result<T, JsonError>;
+
+/// A number.
+pub fn num(v: &Value, key: &str) -> Got<f64> {
+    field(v[key].as_f64(), key, "no number")
+}
+
+/// A number that may be left out.
+pub fn opt(v: &Value, key: &str) -> Got<f64> {
+    if v[key].is_null() {
+        return Ok(0.0);
+    }
+    num(v, key)
+}
+
+/// A text.
+pub fn text<'a>(v: &'a Value, key: &str) -> Got<&'a str> {
+    field(v[key].as_str(), key, "no text")
+}
+
+/// A list.
+pub fn list<'a>(v: &'a Value, key: &str) -> Got<&'a [Value]> {
+    field(v[key].as_array().map(Vec::as_slice), key, "no list")
+}
+
+/// A number as 16 hex digits.
+pub fn hex(v: &Value, key: &str) -> Got<u64> {
+    field(u64::from_str_radix(text(v, key)?, 16).ok(), key, "not 16 hex digits")
+}
+
+fn words(v: &Value, key: &str) -> Got<Vec<String>> {
+    list(v, key)?.iter().map(|n| field(n.as_str().map(String::from), key, "no text")).collect()
+}
+
+fn index(v: &Value, key: &str) -> Got<Option<usize>> {
+    let n = v[key].as_i64().unwrap_or(-1);
+    Ok(usize::try_from(n).ok())
+}
+
+/// Settings from the first message.
+pub fn settings(info: &Value) -> Got<(Settings, Names)> {
+    let (fam, per, rules) = (&info["family_info"], &info["permissions"], &info["rules"]);
+    let zones = words(info, "areas")?;
+    let kinds = words(info, "kinds")?;
+    let flag = |v: &Value, key: &str| v[key].as_bool().unwrap_or(false);
+    let per_class = |key: &str, i: usize| fam[key].get(i).and_then(Value::as_f64).unwrap_or(0.0);
+    let mut classes = Vec::new();
+    for (i, c) in list(info, "classes")?.iter().enumerate() {
+        classes.push(Class {
+            name: text(c, "name")?.to_string(),
+            aim_ms: num(c, "objective_ms")?,
+            aim_stretch: opt(c, "aim_stretch")?,
+            deadline_ms: num(c, "deadline_ms")?,
+            worth: num(c, "importance")?,
+            late_worth: opt(c, "late_worth")?,
+            effect: match text(c, "semantics")? {
+                "idempotent" => Effect::Idempotent,
+                "deduplicated" => Effect::Deduplicated,
+                "at_most_once" => Effect::AtMostOnce,
+                other => return Err(unknown(&format!("classes[{i}].semantics"), other)),
+            },
+            scope: match c["dedup_scope"].as_str().unwrap_or("cell") {
+                "all" => DedupScope::All,
+                "zone" => DedupScope::Zone,
+                _ => DedupScope::Cell,
+            },
+            repeat_window_ms: opt(c, "repeat_window_ms")?,
+            write: fam["class_write"].get(i).and_then(Value::as_bool).unwrap_or(false),
+            fresh_ms: per_class("good_for_ms", i),
+            grace_ms: per_class("grace_for_ms", i),
+        });
+    }
+    let by_zone = |key: &str| -> Vec<f64> {
+        (0..zones.len()).map(|z| fam[key].get(z).and_then(Value::as_f64).unwrap_or(0.0)).collect()
+    };
+    let zone = text(info, "zone")?;
+    let s = Settings {
+        zone: zones.iter().position(|z| z == zone).ok_or_else(|| unknown("zone", zone))?,
+        zone_routers: by_zone("zone_balancers").into_iter().map(|n| n as u32).collect(),
+        link_in_kb_per_s: by_zone("link_in_kb_per_s"),
+        kinds: kinds.len(),
+        parent_kind: index(fam, "mid_kind")?,
+        origin_kind: index(fam, "origin_kind")?,
+        slot: num(info, "slot_no")? as u32,
+        routers: num(info, "group_size")? as u32,
+        straight: flag(fam, "straight"),
+        joins: flag(fam, "collapses"),
+        neighbours: match fam["neighbours"].as_str() {
+            Some("location") => Neighbours::Location,
+            Some("any") => Neighbours::Any,
+            _ => Neighbours::None,
+        },
+        notes: match fam["note_level"].as_str() {
+            Some("all") => NoteLevel::All,
+            Some("hit") => NoteLevel::Hit,
+            _ => NoteLevel::None,
+        },
+        stream_kb_per_s: num(fam, "stream_kb_per_s")?,
+        max_attempts: num(per, "max_attempts")? as u32,
+        max_open: num(per, "max_open")? as u32,
+        parallel: flag(per, "parallel_tries"),
+        cancel: flag(per, "cancelling"),
+        peers: flag(per, "peers"),
+        max_retry_after_ms: if flag(per, "retry_after") { opt(per, "max_retry_after_ms")? } else { 0.0 },
+        ask_for_lists: info["discovery"].as_str() == Some("on_request"),
+        tick_ms: opt(info, "tick_ms")?,
+        drain_grace_ms: num(rules, "drain_grace_ms")?,
+        cold_from: num(rules, "start_capacity")?,
+        cold_ms: num(rules, "warm_up_ms")?,
+        cold_multiple: num(rules, "tip_multiple")?,
+        cold_window_ms: num(rules, "overload_for_ms")?,
+        parent_cold_from: opt(fam, "parent_starts_at")?,
+        parent_cold_ms: opt(fam, "upper_cold_ms")?,
+        parent_cold_multiple: opt(fam, "parent_breaks_at")?,
+        purge_slack_ms: opt(fam, "purge_slack_ms")?,
+        purge_done_ms: opt(fam, "purge_done_ms")?,
+        zones: zones.clone(),
+        classes,
+    };
+    let classes = s.classes.iter().map(|c| c.name.clone()).collect();
+    Ok((s, Names { zones, kinds, classes }))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -106,7 +106,9 @@
 //! ```
 
 pub mod api;
+pub mod facade;
 pub mod filter;
+pub mod json;
 mod policy;
 
 pub use api::*;
