--- a/front/src/buffer.rs
+++ b/front/src/buffer.rs
@@ -22,7 +22,7 @@
 
     /// Drops the first `n` bytes.
     pub fn consume(&mut self, n: usize) {
-        self.start = (self.start + n).min(self.end);
+        self.start = self.start.saturating_add(n).min(self.end);
         if self.start == self.end {
             (self.start, self.end) = (0, 0);
             if self.bytes.len() > KEEP {
