Round waits up to whole milliseconds: shorter ones never ended

A trace of each late request showed that no attempt ever ended Overdue; all hung until the module called them off or the client forgot them.

Cause: may keeps a park's time-out in whole milliseconds, and 0 means for ever. A wait that ended a fraction of a millisecond early was followed by one of 0. Line at fault: slot.blocker.park(Some(left)) in upstream.rs. Ruled out: the timer thread (the module's 50 ms looks were on time) and connecting (its time-out is another timer, and fired).

A test parks for odd fractions.

--- a/front/src/upstream.rs
+++ b/front/src/upstream.rs
@@ -97,6 +97,12 @@
     }
 }
 
+/// Rounds up to whole milliseconds. May cuts a wait to whole milliseconds and takes 0 for 'for ever': the rest
+/// of a wait that ended a little early would never end, and its request would get no answer.
+fn whole_ms(d: Duration) -> Duration {
+    Duration::from_millis(d.as_micros().div_ceil(1000).max(1) as u64)
+}
+
 /// Where the coroutine of an attempt waits for its end.
 struct Slot {
     blocker: Arc<Blocker>,
@@ -286,7 +292,7 @@
             } else if left.is_zero() {
                 conn.give_up(a.id, trace, Ending::Overdue);
             } else {
-                let _ = slot.blocker.park(Some(left));
+                let _ = slot.blocker.park(Some(whole_ms(left)));
                 continue;
             }
         }
@@ -369,3 +375,48 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_wait_shorter_than_a_millisecond_ends() {
+        assert_eq!(whole_ms(Duration::from_micros(1)), Duration::from_millis(1));
+        assert_eq!(whole_ms(Duration::from_micros(7001)), Duration::from_millis(8));
+        let limits = Limits {
+            streams: 1,
+            connect_timeout: Duration::from_millis(400),
+            idle: Duration::from_secs(9),
+            connections: 4,
+        };
+        let upstream = Arc::new(Upstream::new(limits, Log::start()));
+        // A machine that takes connections and says nothing.
+        let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        upstream.know("s-1".into(), silent.local_addr().expect("bound"), 0.0);
+        let ends: Vec<_> = (0..20u64)
+            .map(|i| {
+                let upstream = upstream.clone();
+                may::go!(move || {
+                    let a = Attempt {
+                        id: RequestId(i),
+                        number: 0,
+                        cache: "s-1".into(),
+                        source: None,
+                        until_ms: 0.0,
+                        rank: 0,
+                        age_ms: 0.0,
+                        join: false,
+                        renew: false,
+                        called_off: Arc::default(),
+                    };
+                    let deadline = Instant::now() + Duration::from_micros(30_000 + 137 * i);
+                    upstream.run(&a, &format!("{i:016x}"), "cls=x", b"", deadline).ending
+                })
+            })
+            .collect();
+        for e in ends {
+            assert!(matches!(e.join(), Ok(Ending::Overdue | Ending::RefusedConn)));
+        }
+    }
+}
