--- a/src/json.rs
+++ b/src/json.rs
@@ -158,7 +158,8 @@
         parallel: flag(per, "parallel_tries"),
         cancel: flag(per, "cancelling"),
         peers: flag(per, "peers"),
-        max_retry_after_ms: if flag(per, "retry_after") { opt(per, "max_retry_after_ms")? } else { 0.0 },
+        // Also where the platform says that its clients pay no heed: who is refused is told when to come back.
+        max_retry_after_ms: opt(per, "max_retry_after_ms")?,
         ask_for_lists: info["discovery"].as_str() == Some("on_request"),
         tick_ms: opt(info, "tick_ms")?,
         drain_grace_ms: num(rules, "drain_grace_ms")?,
