--- a/front/src/bus.rs
+++ b/front/src/bus.rs
@@ -129,7 +129,10 @@
     // Its number counts as had even where it can't be read: else the same event would come for ever.
     *offset = number;
     match event(&v, &front.names) {
-        Ok(e) => apply(front, e),
+        Ok(e) => {
+            apply(front, e);
+            front.log.line(format!("bus offset={number}"));
+        }
         Err(e) => front.log.line(format!("bus: event {number}: {e}")),
     }
     Ok(())
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -149,6 +149,7 @@
         None => None,
     };
     let listener = TcpListener::bind(config.listen).map_err(|e| StartError::Bind(config.listen, e))?;
+    let listen = listener.local_addr().unwrap_or(config.listen);
     let ways = Ways { upstream: upstream.clone(), peers: peers.clone(), log: log.clone() };
     // The longest that a client waits, and a little to write the last answer.
     let longest = config.settings.classes.iter().map(|c| c.deadline_ms).fold(3000.0, f64::max) + 500.0;
@@ -175,6 +176,7 @@
         let f = front.clone();
         spawn(move || p.run(&f));
     }
+    front.log.line(format!("front {} listens on {listen}", config.name));
     let f = front.clone();
     spawn(move || f.server.run(&f, &listener, most + most / 4));
     let f = front.clone();
@@ -184,7 +186,6 @@
             next.map_or(TICK, |at| f.clock.until(at).clamp(Duration::from_millis(1), TICK)),
         );
     });
-    front.log.line(format!("front {} listens on {}", config.name, config.listen));
     let housekeeper = may::go!(move || {
         keep_house(&front, &leave, Duration::from_secs_f64(longest / 1000.0));
     });
--- a/front/src/resp.rs
+++ b/front/src/resp.rs
@@ -69,35 +69,43 @@
     }
 }
 
-/// The first answer and its length, once it is there whole.
-pub fn parse(data: &[u8]) -> Result<Option<(usize, Answer<'_>)>, RespError> {
+/// The parts of the first array and its length, once it is there whole.
+pub fn parts(data: &[u8]) -> Result<Option<(usize, Vec<&[u8]>)>, RespError> {
     let Some((count, mut rest)) = number(data, b'*')? else { return Ok(None) };
     if count > MOST_PARTS {
         return Err(RespError::TooLong);
     }
-    let mut parts: [&[u8]; MOST_PARTS] = [&[]; MOST_PARTS];
-    for part in &mut parts[..count] {
+    let mut parts = Vec::with_capacity(count);
+    for _ in 0..count {
         let Some((len, behind)) = number(rest, b'$')? else { return Ok(None) };
         if len > MOST_BYTES {
             return Err(RespError::TooLong);
         }
         let Some((text, behind)) = behind.split_at_checked(len) else { return Ok(None) };
         match behind {
-            [b'\r', b'\n', behind @ ..] => (*part, rest) = (text, behind),
+            [b'\r', b'\n', behind @ ..] => rest = behind,
             [] | [b'\r'] => return Ok(None),
             _ => return Err(RespError::Invalid),
         }
+        parts.push(text);
     }
-    if count < 2 {
-        return Err(RespError::Shape);
-    }
+    Ok(Some((data.len() - rest.len(), parts)))
+}
+
+/// The first answer and its length, once it is there whole.
+pub fn parse(data: &[u8]) -> Result<Option<(usize, Answer<'_>)>, RespError> {
+    let Some((len, parts)) = parts(data)? else { return Ok(None) };
     let text = |part| std::str::from_utf8(part).map_err(|_| RespError::Shape);
-    let answer =
-        Answer { id: text(parts[0])?, word: text(parts[1])?, fields: text(parts[2])?, body: parts[3] };
-    Ok(Some((data.len() - rest.len(), answer)))
+    match parts[..] {
+        [id, word, fields, body] => {
+            Ok(Some((len, Answer { id: text(id)?, word: text(word)?, fields: text(fields)?, body })))
+        }
+        _ => Err(RespError::Shape),
+    }
 }
 
-fn array(parts: &[&[u8]]) -> Vec<u8> {
+/// An array of those parts.
+pub fn array(parts: &[&[u8]]) -> Vec<u8> {
     let mut out = Vec::with_capacity(parts.iter().map(|p| p.len() + 16).sum::<usize>() + 16);
     out.extend_from_slice(format!("*{}\r\n", parts.len()).as_bytes());
     for part in parts {
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// What the dispatcher asks of the front that hosts it. It holds no lock while it calls these.
+/// What the dispatcher asks of the front that hosts it. It holds no lock while it calls these, but for `waiter`.
 pub trait Host: Send + Sync {
     /// A place to wait in, for the caller of `pick` or `report` whose request is held.
     fn waiter(&self) -> Arc<dyn Waiter>;
--- /dev/null
+++ b/tests/facade.rs
@@ -0,0 +1,133 @@
+//! The facade in blocking style.
+mod common;
+use common::{fleet, settings};
+use fernslip::facade::*;
+use fernslip::*;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Condvar, Mutex};
+
+#[derive(Default)]
+struct Flag(Mutex<bool>, Condvar);
+
+impl Waiter for Flag {
+    fn wait(&self) {
+        let _woken = self.1.wait_while(self.0.lock().unwrap(), |woken| !*woken).unwrap();
+    }
+
+    fn wake(&self) {
+        *self.0.lock().unwrap() = true;
+        self.1.notify_all();
+    }
+}
+
+#[derive(Default)]
+struct Notes(Mutex<Vec<String>>);
+
+impl Host for Notes {
+    fn waiter(&self) -> Arc<dyn Waiter> {
+        Arc::new(Flag::default())
+    }
+
+    fn cancel(&self, id: RequestId, attempt: u32) {
+        self.0.lock().unwrap().push(format!("cancel {} {attempt}", id.0));
+    }
+
+    fn tell(&self, to: u32, data: &[u8]) {
+        self.0.lock().unwrap().push(format!("tell {to} {data:?}"));
+    }
+
+    fn tell_all(&self, data: &[u8]) {
+        self.0.lock().unwrap().push(format!("tell all {data:?}"));
+    }
+
+    fn log(&self, _: &str) {}
+}
+
+fn ready() -> Dispatcher<Notes> {
+    let d = Dispatcher::new(settings(), 7, Notes::default()).expect("settings are sound");
+    d.list(1000.0, ListKind::Full, fleet());
+    d
+}
+
+fn ask(id: u64) -> Request {
+    let (object, budget_ms) = (ObjectId(9), 5000.0);
+    Request { id: RequestId(id), object, part: 0, class: 0, size_kb: 100.0, budget_ms, group: 3 }
+}
+
+fn attempt(d: Decision) -> Attempt {
+    match d {
+        Decision::Try(a) => a,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn ended(a: &Attempt, ending: Ending) -> Ended {
+    let (id, attempt, cache) = (a.id, a.number, a.cache.clone());
+    Ended { id, attempt, cache, ending, elapsed_ms: 50.0, detail: 0, fill_wait_ms: 0.0 }
+}
+
+#[test]
+fn a_request_is_picked_tried_again_and_over() {
+    let d = ready();
+    let first = attempt(d.pick(1000.0, ask(1)));
+    assert!(first.source.is_some() && first.number == 0);
+    let second = attempt(d.report(1050.0, ended(&first, Ending::Errored)));
+    assert_eq!(second.number, 1);
+    assert!(matches!(d.report(1100.0, ended(&second, Ending::Completed)), Decision::Over));
+    assert_eq!(d.open(), 0, "nothing is kept of it");
+    assert!(
+        matches!(d.report(1101.0, ended(&second, Ending::Completed)), Decision::Over),
+        "late and harmless"
+    );
+}
+
+#[test]
+fn what_is_given_up_is_answered_at_once_with_a_hint() {
+    let d = ready();
+    let a = attempt(d.pick(1000.0, ask(1)));
+    match d.report(5999.0, ended(&a, Ending::Errored)) {
+        Decision::Refuse { retry_after_ms } => assert!(retry_after_ms > 0.0),
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(d.open(), 0);
+}
+
+#[test]
+fn an_id_that_is_open_is_refused_and_the_first_keeps_its_answer() {
+    let d = ready();
+    let a = attempt(d.pick(1000.0, ask(1)));
+    assert!(matches!(d.pick(1001.0, ask(1)), Decision::Refuse { .. }));
+    assert!(matches!(d.report(1050.0, ended(&a, Ending::Completed)), Decision::Over));
+}
+
+#[test]
+fn a_client_that_left_has_its_attempt_called_off() {
+    let d = ready();
+    let a = attempt(d.pick(1000.0, ask(1)));
+    d.gone(1010.0, a.id);
+    assert!(a.called_off.load(Ordering::Acquire), "also where the front has not begun with it");
+    assert!(d.host().0.lock().unwrap().contains(&"cancel 1 0".to_string()));
+    assert!(matches!(d.report(1011.0, ended(&a, Ending::Recalled)), Decision::Over));
+    assert_eq!(d.open(), 0);
+}
+
+#[test]
+fn the_modules_timers_run_and_call_off_what_waits_at_a_silent_cache() {
+    let d = ready();
+    let a = attempt(d.pick(1000.0, ask(1)));
+    let mut now = 1000.0;
+    while !a.called_off.load(Ordering::Acquire) {
+        now = d.tick(now).expect("it looks for silent machines");
+        assert!(now < 5000.0, "in time for another try");
+    }
+    let b = attempt(d.report(now, ended(&a, Ending::Recalled)));
+    assert_ne!(a.cache, b.cache);
+}
+
+#[test]
+fn peers_are_told_and_heard() {
+    let d = ready();
+    assert_eq!(d.host().0.lock().unwrap().len(), 0, "its location has no other router");
+    d.heard(1000.0, 1, vec![2, 1, 1]);
+    assert_eq!(*d.host().0.lock().unwrap(), ["tell 1 [2, 1, 0]"], "a greeting that asks is answered");
+}
