--- a/front/src/resp.rs
+++ b/front/src/resp.rs
@@ -69,8 +69,11 @@
     }
 }
 
-/// The parts of the first array and its length, once it is there whole.
-pub fn parts(data: &[u8]) -> Result<Option<(usize, Vec<&[u8]>)>, RespError> {
+/// The length of an array and its parts, which point into the bytes they were read from.
+pub type Parts<'a> = (usize, Vec<&'a [u8]>);
+
+/// The first array's length and parts, once it is there whole.
+pub fn parts(data: &[u8]) -> Result<Option<Parts<'_>>, RespError> {
     let Some((count, mut rest)) = number(data, b'*')? else { return Ok(None) };
     if count > MOST_PARTS {
         return Err(RespError::TooLong);
