Bound what malformed and slow sides can cost; give the bus a deep stack

A bus line nested 400 deep ended the bus's coroutine without a word: its stack of 128 KB was too small for serde_json's 128 levels in a debug build. Also: a QUIT that can't be written at once ends its connection, so that the next attempt is not out beside it; open writes' bodies share 24 MB; messages are at most 128 KB, answers 300 KB; an error of the peers' socket no longer spins.

--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -26,7 +26,7 @@
 use may::net::TcpListener;
 use may::sync::Blocker;
 use peers::Peers;
-use spawn::spawn;
+use spawn::{spawn, spawn_deep};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -171,7 +171,7 @@
         }
     }
     let f = front.clone();
-    spawn(move || bus::run(&f, config.bus, config.offset));
+    spawn_deep(move || bus::run(&f, config.bus, config.offset));
     if let Some(p) = peers {
         let f = front.clone();
         spawn(move || p.run(&f));
--- a/front/src/log.rs
+++ b/front/src/log.rs
@@ -65,6 +65,8 @@
     Retired,
     /// This front is ending.
     Shutdown,
+    /// What gives a request up could not be written at once.
+    Stuck,
     /// Nothing came for too long where something should.
     Silent,
     /// Events are missing.
@@ -85,6 +87,7 @@
             Reason::TooMany => "too_many",
             Reason::Retired => "retired",
             Reason::Shutdown => "shutdown",
+            Reason::Stuck => "stuck",
             Reason::Silent => "silent",
             Reason::Gap => "gap",
         }
--- a/front/src/msgpack_rpc.rs
+++ b/front/src/msgpack_rpc.rs
@@ -4,8 +4,9 @@
 use rmp::encode;
 use std::fmt;
 
-/// A request's body and fields with room to spare; nothing longer is a message.
-const MOST_BYTES: usize = 512 * 1024;
+/// A write's 48,000 bytes and the fields, with room to spare; nothing longer is a message. Bounds what one
+/// connection's buffer can hold.
+const MOST_BYTES: usize = 128 * 1024;
 const MOST_DEPTH: usize = 8;
 
 /// Fields by name.
@@ -59,9 +60,16 @@
     if data.is_empty() {
         return Ok(None);
     }
-    let len = match MessageLen::with_limits(MOST_DEPTH, MOST_BYTES).incremental_len(data) {
+    let mut measure = MessageLen::with_limits(MOST_DEPTH, MOST_BYTES);
+    // Measured twice where it is not whole: of a part that breaks the limits, the first measure says only that
+    // more must come. Without the second a client could have bytes held without end.
+    let measured = match measure.incremental_len(data) {
+        Err(LenError::Truncated(_)) => measure.incremental_len(&[]),
+        other => other,
+    };
+    let len = match measured {
         Ok(len) => len,
-        Err(LenError::Truncated(least)) if least.get() <= MOST_BYTES => return Ok(None),
+        Err(LenError::Truncated(_)) if data.len() <= MOST_BYTES => return Ok(None),
         Err(LenError::Truncated(_)) => return Err(RpcError::TooLong),
         Err(LenError::ParseError) => return Err(RpcError::Invalid),
     };
@@ -166,3 +174,14 @@
         put_fields(out, &[]);
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_body_that_is_too_long_is_known_by_its_head() {
+        let head = [0x94, 0, 1, 0xa1, b'x', 0x92, 0x80, 0xc6, 1, 0, 0, 0];
+        assert!(parse(&head).is_err(), "{:?}", parse(&head));
+    }
+}
--- a/front/src/peers.rs
+++ b/front/src/peers.rs
@@ -4,9 +4,11 @@
 use may::net::UdpSocket;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// No message is longer.
 const MOST_BYTES: usize = 256;
+const AFTER_ERROR: Duration = Duration::from_millis(5);
 
 /// This front's end of it.
 pub struct Peers {
@@ -44,7 +46,7 @@
         loop {
             let Ok((n, from)) = self.socket.recv_from(&mut data) else {
                 // An error of one datagram, such as a port that nobody has: the next may be fine.
-                may::coroutine::yield_now();
+                may::coroutine::sleep(AFTER_ERROR);
                 continue;
             };
             let sender = self.each.iter().position(|p| *p == from);
--- a/front/src/resp.rs
+++ b/front/src/resp.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 
 const MOST_PARTS: usize = 8;
-/// An object's bytes, with room to spare.
-const MOST_BYTES: usize = 512 * 1024;
+/// An object's 240,000 bytes, with room to spare.
+const MOST_BYTES: usize = 300 * 1024;
 const MOST_DIGITS: usize = 10;
 
 /// An answer of a cache node; it points into the bytes it was read from.
--- a/front/src/server.rs
+++ b/front/src/server.rs
@@ -21,6 +21,10 @@
 const MOST_WAITING: usize = MOST_OPEN * 256 * 1024 / 2;
 /// Answers of all connections that wait: what memory has room for.
 const MOST_WAITING_IN_ALL: usize = 64 << 20;
+/// Bodies of open writes, all together; more is refused before it is a request.
+const MOST_BODIES: usize = 24 << 20;
+/// When one that memory had no room for may come back, in milliseconds.
+const NO_ROOM_PAUSE: f64 = 500.0;
 /// An idle connection is closed; clients do so long before.
 const IDLE: Duration = Duration::from_secs(60);
 /// Of what a client waits, kept back for the way there and back.
@@ -48,6 +52,7 @@
     clients: Mutex<HashMap<u64, Arc<Client>>>,
     next: AtomicUsize,
     waiting: AtomicUsize,
+    bodies: AtomicUsize,
     closed: AtomicBool,
 }
 
@@ -148,9 +153,16 @@
             open.idle_since = None;
             open.taken += 1;
         }
+        let bytes = ask.body.len();
+        if front.server.bodies.fetch_add(bytes, Ordering::Relaxed) + bytes > MOST_BODIES {
+            front.server.bodies.fetch_sub(bytes, Ordering::Relaxed);
+            self.answer(front, call, Answer::Refused(NO_ROOM_PAUSE));
+            return Ok(());
+        }
         let (client, front) = (self.clone(), front.clone());
         spawn(move || {
             let answer = relay::serve(&front.dispatcher, &front.upstream, &front.clock, request, &ask);
+            front.server.bodies.fetch_sub(bytes, Ordering::Relaxed);
             client.answer(&front, call, answer);
         });
         Ok(())
--- a/front/src/upstream.rs
+++ b/front/src/upstream.rs
@@ -172,7 +172,12 @@
             return self.end(id, End::without_answer(Ending::RefusedConn));
         }
         lock(&self.open).quit.insert(id, Instant::now());
-        self.link.send(resp::quit(trace), None);
+        // An attempt is out until the node hears that it is given up. Where that can't be written now, ending
+        // the connection says it: the next attempt must not be out beside this one.
+        if self.link.send(resp::quit(trace), None).is_some_and(|waiting| waiting > 0) {
+            let _ = self.link.shut();
+            self.link.close(Reason::Stuck);
+        }
         self.end(id, End::without_answer(ending));
     }
 
