Test that a client that does not read stops nobody

32 answers of 240,000 bytes wait in the front while another client is served; read late, each is whole and comes once.

--- a/front/tests/talk.rs
+++ b/front/tests/talk.rs
@@ -248,8 +248,8 @@
             }
             ("log", _) => drop(self.log(rest)),
             ("term", _) => {
-                let id = self.child.id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+                let kill = format!("kill -TERM {}", self.child.id());
+                assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
             }
             ("exit", _) => {
                 let by = Instant::now() + PATIENCE;
@@ -315,6 +315,35 @@
 
 talks! { read write trouble silent forget malformed bus peers term }
 
+/// Guards the writes that a full socket cuts short: they go on as it drains, and nobody else waits for them.
+#[test]
+fn a_client_that_does_not_read_stops_nobody() {
+    let mut play = Play::start("slow");
+    let body = "x".repeat(240_000);
+    let mut serve = |play: &mut Play, call: u32, body: &str| {
+        let trace = format!("{call:016x}");
+        let fields = json!({"trace": trace, "patience": "60000", "entity": "00000000000000a1", "slice": "0"});
+        play.step("client", ">", &json!([0, call, "statement-docs", [fields, "b:"]]).to_string());
+        assert!(play.step("a", "<", "").starts_with(&format!("ASK {trace}")));
+        play.step("a", ">", &format!("{trace} served tell=fill {body}"));
+    };
+    // More than the sockets on the way hold, so that most of it waits in the front.
+    (1..=32).for_each(|call| serve(&mut play, call, &body));
+    let slow = play.client.take();
+    serve(&mut play, 33, "quick");
+    assert_eq!(play.step("client", "<", ""), r#"[1,33,null,["b:quick",{}]]"#);
+    play.client = slow;
+    let mut calls: Vec<u64> = (1..=32)
+        .map(|_| {
+            let answer: Json = serde_json::from_str(&play.step("client", "<", "")).expect("an answer");
+            assert_eq!(answer[3][0].as_str().map(str::len), Some(body.len() + 2), "whole");
+            answer[1].as_u64().expect("a number")
+        })
+        .collect();
+    calls.sort_unstable();
+    assert!(calls.into_iter().eq(1..=32), "each once");
+}
+
 #[test]
 fn a_bad_configuration_is_one_line_and_a_failure() {
     let dir = std::env::temp_dir().join(format!("fernslip-{}-bad", std::process::id()));
