--- a/front/tests/talk.rs
+++ b/front/tests/talk.rs
@@ -320,7 +320,7 @@
 fn a_client_that_does_not_read_stops_nobody() {
     let mut play = Play::start("slow");
     let body = "x".repeat(240_000);
-    let mut serve = |play: &mut Play, call: u32, body: &str| {
+    let serve = |play: &mut Play, call: u32, body: &str| {
         let trace = format!("{call:016x}");
         let fields = json!({"trace": trace, "patience": "60000", "entity": "00000000000000a1", "slice": "0"});
         play.step("client", ">", &json!([0, call, "statement-docs", [fields, "b:"]]).to_string());
