--- a/src/facade.rs
+++ b/src/facade.rs
@@ -3,6 +3,65 @@
 //! A front hands a request to `pick` and is told what to do with it; it reports how each attempt ended and is told
 //! what to do next. Events and actions stay in here. There are no sockets, threads or clocks: time is passed in,
 //! and what cannot wait for a return value goes to the front's [`Host`].
+//!
+//! ```
+//! use fernslip::{facade::*, *};
+//! use std::sync::Arc;
+//!
+//! /// A front with one thread, no peers and no log.
+//! struct Alone;
+//! impl Waiter for Alone {
+//!     fn wait(&self) {}
+//!     fn wake(&self) {}
+//! }
+//! impl Host for Alone {
+//!     fn waiter(&self) -> Arc<dyn Waiter> {
+//!         Arc::new(Alone)
+//!     }
+//!     fn cancel(&self, _: RequestId, _: u32) {}
+//!     fn tell(&self, _: u32, _: &[u8]) {}
+//!     fn tell_all(&self, _: &[u8]) {}
+//!     fn log(&self, _: &str) {}
+//! }
+//!
+//! let config: serde_json::Value = serde_json::from_str(&std::fs::read_to_string("examples/config.json")?)?;
+//! let (settings, names) = json::settings(&config["settings"])?;
+//! let dispatcher = Dispatcher::new(settings, 42, Alone)?;
+//! let entry = |name: &str, zone, kind| Entry {
+//!     cache: name.into(),
+//!     weight: 1.0,
+//!     zone: names.zones.iter().position(|z| z == zone),
+//!     kind: names.kinds.iter().position(|k| k == kind),
+//!     cell: 0,
+//!     born_ms: 0.0,
+//!     phase: Phase::In,
+//! };
+//! let entries = vec![entry("cache-1", "edge-1", "standard"), entry("origin-1", "north", "origin")];
+//! dispatcher.list(0.0, ListKind::Full, entries);
+//!
+//! let request = Request {
+//!     id: RequestId(1),
+//!     object: ObjectId(7),
+//!     part: 0,
+//!     class: 0,
+//!     size_kb: 40.0,
+//!     budget_ms: 1500.0,
+//!     group: 0,
+//! };
+//! let mut now = 5.0;
+//! let mut decision = dispatcher.pick(now, request);
+//! while let Decision::Try(a) = decision {
+//!     // Here a front asks `a.cache`, to fill a miss from `a.source`, until `a.until_ms` at the longest.
+//!     now += 20.0;
+//!     let (id, attempt, cache) = (a.id, a.number, a.cache);
+//!     let ending = Ending::Completed;
+//!     let ended = Ended { id, attempt, cache, ending, elapsed_ms: 20.0, detail: 2, fill_wait_ms: 0.0 };
+//!     decision = dispatcher.report(now, ended);
+//! }
+//! assert!(matches!(decision, Decision::Over)); // served: nothing more is owed
+//! dispatcher.tick(now);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 
 use crate::api::*;
 use crate::policy::Router;
