Read the configuration again on SIGHUP and move the event bus

Checked: lib.rs registered SIGTERM only, so SIGHUP had its default effect; the bus address was read once at the start. At fault: front/src/lib.rs start(), front/src/bus.rs run(). The file is now read on a thread of its own, the bus connection ends at once and is made anew at the new address from the last event had. Silence of the bus is found after 2.5 s instead of 3.5 s, as retry and connect come on top and 4 s count. Test: front/tests/talks/reload.txt fails with either part taken out.

--- a/front/src/bus.rs
+++ b/front/src/bus.rs
@@ -1,20 +1,22 @@
 //! The event bus: the list of machines and purges, as numbered events.
 
 use crate::buffer::Buffer;
+use crate::link::{lock, Link};
 use crate::log::Reason;
 use crate::Shared;
 use fernslip::json::{self, JsonError, Names};
 use fernslip::{CacheId, Entry, ListKind, ObjectId, Phase};
 use may::net::TcpStream;
 use serde_json::Value;
-use std::io::{ErrorKind, Write};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
-const CONNECT: Duration = Duration::from_secs(1);
-/// A line comes each second; without one for so long the connection is dead.
-const SILENCE: Duration = Duration::from_millis(3500);
+const CONNECT: Duration = Duration::from_millis(500);
+/// A line comes each second; without one for so long the connection is dead. Two lines may be late; what a bus
+/// that stops would have told counts as told after 4 s, so that a new one must be asked well before.
+const SILENCE: Duration = Duration::from_millis(2500);
 const RETRY: Duration = Duration::from_millis(200);
 /// The whole list of the largest deployment is a small part of this.
 const MOST_LINE: usize = 4 << 20;
@@ -138,48 +140,90 @@
     Ok(())
 }
 
-fn follow(front: &Shared, addr: SocketAddr, offset: &mut u64) -> Reason {
-    let mut stream = match TcpStream::connect_timeout(&addr, CONNECT) {
-        Ok(s) => s,
-        Err(e) if e.kind() == ErrorKind::TimedOut => return Reason::ConnectTimeout,
-        Err(_) => return Reason::Refused,
-    };
-    let asked = stream.set_read_timeout(Some(SILENCE)).and_then(|()| writeln!(stream, "from {offset}"));
-    if asked.is_err() {
-        return Reason::Reset;
+/// Takes the whole lines out of the buffer; `seen` bytes of it have no line end.
+fn lines(front: &Shared, buffer: &mut Buffer, offset: &mut u64, seen: &mut usize) -> Result<(), Reason> {
+    while let Some(at) = buffer.data()[*seen..].iter().position(|b| *b == b'\n') {
+        let end = *seen + at;
+        line(front, offset, &buffer.data()[..end])?;
+        buffer.consume(end + 1);
+        *seen = 0;
     }
-    let mut buffer = Buffer::default();
-    let mut seen = 0;
-    loop {
-        match buffer.read_from(&mut stream) {
-            Ok(0) => return Reason::PeerClosed,
-            Ok(_) => {}
-            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-            Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {
-                return Reason::Silent
-            }
-            Err(_) => return Reason::Reset,
+    *seen = buffer.data().len();
+    if *seen > MOST_LINE {
+        return Err(Reason::Malformed);
+    }
+    Ok(())
+}
+
+/// The way to the bus: its address, which may change while the front runs, and the present connection.
+pub struct Bus {
+    state: Mutex<State>,
+}
+
+struct State {
+    addr: SocketAddr,
+    link: Arc<Link>,
+    heard: Option<Instant>,
+}
+
+impl Bus {
+    /// A bus at that address.
+    pub fn new(addr: SocketAddr) -> Bus {
+        Bus { state: Mutex::new(State { addr, link: Arc::default(), heard: None }) }
+    }
+
+    /// The bus has another address from now on. The connection to the old one ends at once: the old bus may stay
+    /// open and say nothing more. The numbers carry on.
+    pub fn move_to(&self, addr: SocketAddr) {
+        let mut state = lock(&self.state);
+        if state.addr != addr {
+            state.addr = addr;
+            state.link.close(Reason::Moved);
         }
-        while let Some(at) = buffer.data()[seen..].iter().position(|b| *b == b'\n') {
-            let end = seen + at;
-            if let Err(why) = line(front, offset, &buffer.data()[..end]) {
-                return why;
-            }
-            buffer.consume(end + 1);
-            seen = 0;
+    }
+
+    /// Now and then: ends a connection that says nothing.
+    pub fn sweep(&self) {
+        let state = lock(&self.state);
+        if state.heard.is_some_and(|at| at.elapsed() > SILENCE) {
+            state.link.close(Reason::Silent);
         }
-        seen = buffer.data().len();
-        if seen > MOST_LINE {
-            return Reason::Malformed;
+    }
+
+    fn follow(&self, front: &Shared, addr: SocketAddr, offset: &mut u64) -> Reason {
+        let stream = match TcpStream::connect_timeout(&addr, CONNECT) {
+            Ok(s) => s,
+            Err(e) if e.kind() == ErrorKind::TimedOut => return Reason::ConnectTimeout,
+            Err(_) => return Reason::Refused,
+        };
+        let link = Arc::new(Link::default());
+        {
+            let mut state = lock(&self.state);
+            if state.addr != addr {
+                return Reason::Moved;
+            }
+            (state.link, state.heard) = (link.clone(), Some(Instant::now()));
         }
+        link.up(stream);
+        link.send(format!("from {offset}\n").into_bytes(), None);
+        let mut seen = 0;
+        let why = link.run(|buffer| {
+            lock(&self.state).heard = Some(Instant::now());
+            lines(front, buffer, offset, &mut seen)
+        });
+        lock(&self.state).heard = None;
+        why
     }
-}
 
-/// Follows the bus for good.
-pub fn run(front: &Arc<Shared>, addr: SocketAddr, mut offset: u64) {
-    loop {
-        let why = follow(front, addr, &mut offset);
-        front.log.line(format!("end kind=bus addr={addr} reason={} offset={offset}", why.code()));
-        may::coroutine::sleep(RETRY);
+    /// Follows the bus for good, from the event after `offset`.
+    pub fn run(&self, front: &Shared, mut offset: u64) {
+        loop {
+            let addr = lock(&self.state).addr;
+            let why = self.follow(front, addr, &mut offset);
+            front.log.line(format!("end kind=bus addr={addr} reason={} offset={offset}", why.code()));
+            if why != Reason::Moved {
+                may::coroutine::sleep(RETRY);
+            }
+        }
     }
 }
--- a/front/src/config.rs
+++ b/front/src/config.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Requests open at once: more than any deployment asks of one core, few enough for its memory.
@@ -13,6 +13,8 @@
 
 /// All of it, checked.
 pub struct Config {
+    /// The file it was read from, to be read again on SIGHUP; `None`: there is none.
+    pub file: Option<PathBuf>,
     /// The front's name.
     pub name: String,
     /// Where clients connect.
@@ -101,7 +103,8 @@
     /// From a file.
     pub fn read(file: &Path) -> Result<Config, ConfigError> {
         let text = std::fs::read_to_string(file).map_err(ConfigError::Read)?;
-        Config::parse(&serde_json::from_str(&text).map_err(ConfigError::Parse)?)
+        let config = Config::parse(&serde_json::from_str(&text).map_err(ConfigError::Parse)?)?;
+        Ok(Config { file: Some(file.to_path_buf()), ..config })
     }
 
     /// From the JSON value.
@@ -119,6 +122,7 @@
             _ => json::list(v, "peers")?.iter().map(|p| address(p, "peers")).collect::<Result<_, _>>()?,
         };
         Ok(Config {
+            file: None,
             name: json::text(v, "name")?.to_string(),
             listen: address(&v["listen"], "listen")?,
             seed: json::hex(v, "seed")?,
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -12,11 +12,13 @@
 pub mod msgpack_rpc;
 pub mod peers;
 pub mod relay;
+pub mod reload;
 pub mod resp;
 pub mod server;
 mod spawn;
 pub mod upstream;
 
+use bus::Bus;
 use clock::Clock;
 use config::Config;
 use fernslip::facade::{Dispatcher, Host, Waiter};
@@ -26,6 +28,7 @@
 use may::net::TcpListener;
 use may::sync::Blocker;
 use peers::Peers;
+use reload::Reload;
 use spawn::{spawn, spawn_deep};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -89,6 +92,8 @@
     pub upstream: Arc<Upstream>,
     /// The clients.
     pub server: server::Server,
+    /// The event bus.
+    pub bus: Bus,
     /// Lines for the operators.
     pub log: Log,
     /// The list of machines is held.
@@ -110,7 +115,7 @@
     Settings(fernslip::SettingsError),
     /// An address cannot be had.
     Bind(std::net::SocketAddr, std::io::Error),
-    /// The signal cannot be caught.
+    /// A signal cannot be caught.
     Signal(std::io::Error),
 }
 
@@ -119,7 +124,7 @@
         match self {
             StartError::Settings(e) => write!(f, "configuration: {e}"),
             StartError::Bind(at, e) => write!(f, "cannot listen on {at}: {e}"),
-            StartError::Signal(e) => write!(f, "cannot catch SIGTERM: {e}"),
+            StartError::Signal(e) => write!(f, "cannot catch signals: {e}"),
         }
     }
 }
@@ -133,6 +138,7 @@
     let log = Log::start();
     let leave = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(signal_hook::consts::SIGTERM, leave.clone()).map_err(StartError::Signal)?;
+    let reload = Reload::catch(config.file).map_err(StartError::Signal)?;
     let most = config.sockets / SHARES;
     let limits = Limits {
         streams: config.streams,
@@ -160,6 +166,7 @@
         dispatcher,
         upstream,
         server: server::Server::default(),
+        bus: Bus::new(config.bus),
         log,
         listed: AtomicBool::new(false),
         leaving: AtomicBool::new(false),
@@ -171,7 +178,7 @@
         }
     }
     let f = front.clone();
-    spawn_deep(move || bus::run(&f, config.bus, config.offset));
+    spawn_deep(move || f.bus.run(&f, config.offset));
     if let Some(p) = peers {
         let f = front.clone();
         spawn(move || p.run(&f));
@@ -187,18 +194,27 @@
         );
     });
     let housekeeper = may::go!(move || {
-        keep_house(&front, &leave, Duration::from_secs_f64(longest / 1000.0));
+        keep_house(&front, &leave, reload, Duration::from_secs_f64(longest / 1000.0));
     });
     let _ = housekeeper.join();
     Ok(())
 }
 
-/// Sweeps now and then, and sees the front out.
-fn keep_house(front: &Shared, leave: &AtomicBool, longest: Duration) {
+/// Sweeps now and then, takes up new configurations, and sees the front out.
+fn keep_house(front: &Shared, leave: &AtomicBool, mut reload: Reload, longest: Duration) {
     let mut left: Option<Instant> = None;
     loop {
         may::coroutine::sleep(SWEEP);
         front.upstream.sweep();
+        front.bus.sweep();
+        match reload.poll() {
+            Some(Ok(new)) => {
+                front.log.line(format!("reload: bus={}; what else is new takes a restart", new.bus));
+                front.bus.move_to(new.bus);
+            }
+            Some(Err(why)) => front.log.line(format!("reload: the old one stays: {why}")),
+            None => {}
+        }
         let since = left.map(|at| at.elapsed());
         let ending = since.is_some_and(|t| t >= STILL_COMING);
         front.server.sweep(ending);
--- a/front/src/log.rs
+++ b/front/src/log.rs
@@ -71,6 +71,8 @@
     Silent,
     /// Events are missing.
     Gap,
+    /// The other side has a new address.
+    Moved,
 }
 
 impl Reason {
@@ -90,6 +92,7 @@
             Reason::Stuck => "stuck",
             Reason::Silent => "silent",
             Reason::Gap => "gap",
+            Reason::Moved => "moved",
         }
     }
 }
--- a/front/tests/talk.rs
+++ b/front/tests/talk.rs
@@ -14,6 +14,7 @@
 //! | `bus<`, `bus> LINE`, `bus!` | the same with lines |
 //! | `peer<`, `peer> hex …` | the same with datagrams |
 //! | `log TEXT` | waits for a line with that text |
+//! | `reload BUS` | writes the configuration anew, with that bus (one that is none: no JSON), and sends SIGHUP |
 //! | `term`, `exit` | sends SIGTERM; waits for the program's end |
 //!
 //! What the front says is put behind its step, and the whole is compared with a snapshot. What differs from run
@@ -24,6 +25,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
@@ -138,6 +140,7 @@
 
 struct Play {
     child: Child,
+    file: PathBuf,
     lines: Receiver<String>,
     addr: String,
     parties: BTreeMap<&'static str, Party>,
@@ -174,7 +177,8 @@
 
 impl Play {
     fn start(name: &str) -> Play {
-        let parties: BTreeMap<_, _> = ["a", "b", "bus"].into_iter().map(|n| (n, Party::new())).collect();
+        let parties: BTreeMap<_, _> =
+            ["a", "b", "bus", "bus2"].into_iter().map(|n| (n, Party::new())).collect();
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
         peer.set_read_timeout(Some(PATIENCE)).expect("a socket option");
         let file = std::env::temp_dir().join(format!("fernslip-{}-{name}.json", std::process::id()));
@@ -189,10 +193,9 @@
         let err = BufReader::new(child.stderr.take().expect("piped"));
         std::thread::spawn(move || err.lines().map_while(Result::ok).try_for_each(|l| to.send(l)));
         let mut play =
-            Play { child, lines, addr: String::new(), parties, peer, heard_from: None, client: None };
+            Play { child, file, lines, addr: String::new(), parties, peer, heard_from: None, client: None };
         let line = play.log("listens on ");
         play.addr = line.rsplit(' ').next().expect("an address").to_string();
-        let _ = std::fs::remove_file(file);
         play
     }
 
@@ -214,6 +217,11 @@
         })
     }
 
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    }
+
     /// One step; what the front said.
     fn step(&mut self, who: &str, what: &str, rest: &str) -> String {
         match (who, what) {
@@ -247,9 +255,15 @@
                 self.peer.send_to(&unhex(rest.trim_start_matches("hex ")), to).expect("sent");
             }
             ("log", _) => drop(self.log(rest)),
-            ("term", _) => {
-                let kill = format!("kill -TERM {}", self.child.id());
-                assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+            ("term", _) => self.signal("TERM"),
+            ("reload", _) => {
+                let text = self.parties.get(rest).map(|bus| {
+                    let mut c = config(&self.parties, self.peer.local_addr().expect("bound"));
+                    c["bus"] = bus.addr().to_string().into();
+                    c.to_string()
+                });
+                std::fs::write(&self.file, text.unwrap_or_default()).expect("a temporary file");
+                self.signal("HUP");
             }
             ("exit", _) => {
                 let by = Instant::now() + PATIENCE;
@@ -264,7 +278,7 @@
             (name, ">") => {
                 let party = self.parties.get_mut(name).expect("a party");
                 let bytes = match (name, rest.strip_prefix("raw ")) {
-                    ("bus", _) => format!("{rest}\n").into_bytes(),
+                    ("bus" | "bus2", _) => format!("{rest}\n").into_bytes(),
                     (_, Some(raw)) => raw.as_bytes().to_vec(),
                     _ => {
                         let mut words: Vec<&[u8]> = rest.splitn(4, ' ').map(str::as_bytes).collect();
@@ -274,7 +288,7 @@
                 };
                 party.send(&bytes);
             }
-            ("bus", "<") => return self.parties.get_mut("bus").expect("a party").next(text_line),
+            ("bus" | "bus2", "<") => return self.parties.get_mut(who).expect("a party").next(text_line),
             (name, "<") => return masked(&self.parties.get_mut(name).expect("a party").next(resp_array)),
             (name, _) => self.parties.get_mut(name).expect("a party").conns.clear(),
         }
@@ -284,6 +298,7 @@
 
 impl Drop for Play {
     fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.file);
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -313,7 +328,7 @@
     ($($name:ident)*) => { $(#[test] fn $name() { talk(stringify!($name)); })* };
 }
 
-talks! { read write trouble silent forget malformed bus peers term }
+talks! { read write trouble silent forget malformed bus peers reload term }
 
 /// Guards the writes that a full socket cuts short: they go on as it drains, and nobody else waits for them.
 #[test]
