Give a cache that answers but crawls less, as slow sources are

A temporary trace of every attempt showed one cache answering all, its hits at 5 to 10 ms a KB where its fellows take 0.5; nearly all 'overdue' were its. It kept its homes, as a cache that is heard is never silent; each late fill through it shrank the limit on fills (35 -> 9) and was blamed on the parent. At fault: policy.rs choose() took a cache's listed weight for what it gives; outcome() and learn() knew slow sources only. Whole hits now set a cache's pace, and the part left to it scales its homes, its load and its use as a sibling. Test: tests/failures.rs a_cache_that_crawls_is_given_little.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,10 +50,12 @@
 const LATE_MARGIN: f64 = 1.6; // load rises while an answer is sent
 const SHARE_MS: f64 = 3_000.0; // time over which a router's own part stands for the others'
 
-// A source's pace: how many times their sending time its fills take, a moving average that fades.
+// A machine's pace: how many times their sending time its fills (of a cache: its hits) take, a moving average
+// that fades.
 const PACE_STEP: f64 = 0.4; // large, as one of many routers sees few fills of each
 const PACE_FADES_MS: f64 = 10_000.0;
 const PACE_BASE_MS: f64 = 100.0; // what a fill takes besides its sending
+const HIT_BASE_MS: f64 = 10.0; // what a hit takes besides its sending
 const SLOW: f64 = 1.5; // times its fellows' pace, from which it is given less
 const SLOW_PART: f64 = 0.5; // left to it, under which it alone is to blame for late fills
 
@@ -523,8 +525,7 @@
         // Home is the first in hash order; a cold cache's weight grows as it warms: it takes only its part.
         let place = word(req.key);
         let own = self.caches.iter().filter(|(_, c)| c.role == Role::Edge && c.phase == Phase::In);
-        let mut scored: Vec<_> =
-            own.map(|o| (score(o.1.tag, place, o.1.weight * self.warmth(o.1)), o)).collect();
+        let mut scored: Vec<_> = own.map(|o| (score(o.1.tag, place, self.gives(o.1)), o)).collect();
         scored.sort_by(|a, b| b.0.total_cmp(&a.0));
         let order: Vec<(&CacheId, &Cache)> = scored.into_iter().map(|s| s.1).collect();
         let sendable = order.iter().copied().filter(|(_, c)| self.may_send(req, c));
@@ -533,16 +534,17 @@
             fits = sendable.filter(|(_, c)| self.has_room(c, req)).collect();
         }
         let weight: f64 = order.iter().map(|o| o.1.weight).sum();
-        let first = self.load(fits.first().ok_or("no cache may be sent it")?.1);
+        let first = fits.first().ok_or("no cache may be sent it")?.1;
         // Links are shared evenly, so what is asked takes its sending time times the load. Where home would
         // be late, the next in hash order that would not be serves; with none it is refused at once, the
         // large first. Guards against hot objects, bursts, lost caches. Harm: second copies; a late answer's
         // worth. Nothing is faster than its sending time: what cannot end while the client waits only fills
         // the links.
         let aim = req.aim_ms.min(left);
-        let slow = |load: f64| req.work_ms * (load * LATE_MARGIN).max(1.0);
-        let in_time = |c: &Cache| slow(self.load(c)) <= aim;
-        let spill = fits[1..].iter().find(|f| in_time(f.1) && self.load(f.1) < SPILL_GAIN * first);
+        let alone = |c: &Cache| if self.quickness(c) < 1.0 { c.pace_at(self.now) } else { 1.0 };
+        let in_time = |c: &Cache| req.work_ms * (self.load(c) * LATE_MARGIN).max(alone(c)) <= aim;
+        let eased = |c: &Cache| self.is_slow(first) || self.load(c) < SPILL_GAIN * self.load(first);
+        let spill = fits[1..].iter().find(|f| in_time(f.1) && eased(f.1));
         let home = fits.first().filter(|f| in_time(f.1)).or(spill);
         let &(id, home) = home.ok_or("caches are crowded")?;
         let (parent, origin) = (self.source(req, Role::Parent), self.source(req, Role::Origin));
@@ -555,7 +557,9 @@
             let source = parent.or(origin).unwrap_or(id);
             return Ok((id.clone(), source.clone(), Way::Hit));
         }
-        let held = |i: &CacheId, c: &Cache| i != id && c.filter.shows(req.key) && self.fits(i, c, req);
+        let held = |i: &CacheId, c: &Cache| {
+            i != id && c.filter.shows(req.key) && self.fits(i, c, req) && !self.is_slow(c)
+        };
         let asks = self.set.neighbours != Neighbours::None;
         let sibling = order.iter().find(|(i, c)| asks && held(i, c)).map(|s| s.0);
         let source = sibling.or(parent).or(origin).ok_or(NO_SOURCE)?;
@@ -590,8 +594,9 @@
         self.caches.values().filter(same)
     }
 
-    /// The part of its weight that is left to a source slower than its fellows. Guards against parents that
-    /// slow, pause or crowd. Harm: what a merely busy one holds is fetched by a second.
+    /// The part of its weight that is left to a machine slower than its fellows. Guards against parents that
+    /// slow, pause or crowd, and caches that answer all but crawl. Harm: what a merely busy one holds is fetched
+    /// by a second.
     fn quickness(&self, c: &Cache) -> f64 {
         let n = self.fellows(c).count().max(1) as f64;
         let others = self.fellows(c).map(|f| f.pace_at(self.now)).sum::<f64>() / n;
@@ -602,6 +607,15 @@
         }
     }
 
+    fn is_slow(&self, c: &Cache) -> bool {
+        self.quickness(c) < SLOW_PART
+    }
+
+    /// What it can give now, of its weight.
+    fn gives(&self, c: &Cache) -> f64 {
+        c.weight * self.warmth(c) * self.quickness(c)
+    }
+
     fn warmth(&self, c: &Cache) -> f64 {
         let (from, ms) = match c.role {
             Role::Parent => (self.set.parent_cold_from, self.set.parent_cold_ms),
@@ -638,7 +652,7 @@
     }
 
     fn load(&self, c: &Cache) -> f64 {
-        c.open.of_all(self.now, f64::from(self.zone_routers())) / (c.weight * self.warmth(c))
+        c.open.of_all(self.now, f64::from(self.zone_routers())) / self.gives(c)
     }
 
     /// Whether its class lets this request be sent to that cache now.
@@ -690,13 +704,18 @@
         let in_time = o.elapsed_ms <= req.aim_ms;
         let (now, routers) = (self.now, f64::from(self.zone_routers()));
         let source = a.source.clone();
-        let slow = self.caches.get(&source).is_some_and(|c| self.quickness(c) < SLOW_PART);
-        if way == Way::Fill && o.detail != 1 && matches!(o.ending, Ending::Completed | Ending::Overdue) {
-            let took = o.elapsed_ms / (req.work_ms + PACE_BASE_MS);
-            self.caches.entry(source).and_modify(|c| {
+        // A fill through a cache that crawls says nothing of its source, nor of the links.
+        let crawls = self.caches.get(&cache).is_some_and(|c| self.is_slow(c));
+        let slow = crawls || self.caches.get(&source).is_some_and(|c| self.is_slow(c));
+        let hit = o.detail == 1 && o.ending == Ending::Completed;
+        if hit || way == Way::Fill && matches!(o.ending, Ending::Completed | Ending::Overdue) {
+            let (id, base) = if hit { (&cache, HIT_BASE_MS) } else { (&source, PACE_BASE_MS) };
+            let took = o.elapsed_ms / (req.work_ms + base);
+            let edge = |c: &Cache| c.role == Role::Edge;
+            if let Some(c) = self.caches.get_mut(id).filter(|c| hit == edge(c) && (hit || !crawls)) {
                 c.pace = c.pace_at(now) + PACE_STEP * (took - c.pace_at(now));
                 c.paced = now;
-            });
+            }
         }
         let crowded = match o.ending {
             _ if slow => false,
@@ -723,7 +742,7 @@
                 c.heard = now;
             }
         }
-        self.learn(&mut req, &o, out);
+        self.learn(&mut req, &o, crawls, out);
         req.done |= o.over;
         if req.is_open() {
             self.reqs.insert(o.id, req);
@@ -736,7 +755,7 @@
     }
 
     /// Feeds filters and health from an outcome.
-    fn learn(&mut self, req: &mut Req, o: &Outcome, out: &mut Vec<Action>) {
+    fn learn(&mut self, req: &mut Req, o: &Outcome, crawls: bool, out: &mut Vec<Action>) {
         let a = &req.attempts[o.attempt as usize];
         let (cache, source, sent, shown) = (&a.cache.clone(), &a.source.clone(), a.sent, a.way == Way::Hit);
         let write = self.set.classes[req.ask.class].write;
@@ -770,7 +789,7 @@
                 let told = self.set.notes == NoteLevel::All && o.detail != 0;
                 let (c, s) = match (o.ending, o.detail) {
                     (_, 8..=10) | (Ending::Saturated, 0) => (0.0, 0.0),
-                    _ if late && !quiet(cache) && (shown || !quiet(source)) => (0.0, 0.0),
+                    _ if late && !quiet(cache) && (shown || crawls || !quiet(source)) => (0.0, 0.0),
                     _ if late && !quiet(cache) => (0.0, 1.0),
                     (_, 6 | 7) => (0.0, 1.0),
                     (Ending::RefusedConn, _) => (1.5, 0.0),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -273,3 +273,34 @@
     let later = share(&mut r, 3000..3100, 1.0);
     assert!(later.0 > 25, "the memory of it fades: {later:?}");
 }
+
+/// Incident "a cache that crawls": it answers all, ten times slower than its fellows. Its homes go to the others,
+/// it is not filled from, and late fills through it are held against neither the parents nor the links.
+#[test]
+fn a_cache_that_crawls_is_given_little() {
+    let mut r = Rig::new();
+    let slow = r.serve(1, 1).cache;
+    let part = |r: &mut Rig| {
+        let mut at_slow = 0;
+        for o in 0..200 {
+            let s = sent(&r.ask(o)).expect("sent");
+            assert_ne!(s.source, slow, "not filled from while it crawls");
+            at_slow += u32::from(s.cache == slow);
+            let took = if s.cache == slow { 1500.0 } else { 110.0 };
+            r.now += 2.0;
+            let again = r.end_after(&s, 0, (Ending::Completed, 1), took);
+            assert!(sent(&again).is_none());
+        }
+        at_slow
+    };
+    let before = part(&mut r);
+    let after = part(&mut r);
+    assert!(after * 4 < before.max(40), "given less once it is known: {before}, then {after}");
+    for o in 1000..1020 {
+        let s = sent(&r.ask(o)).expect("fills go on: the links are not to blame");
+        r.now += 20.0;
+        r.end(&s, 0, if s.cache == slow { Ending::Overdue } else { Ending::Completed }, 2);
+    }
+    r.now += 60_000.0;
+    assert!((2000..2200).any(|o| sent(&r.ask(o)).is_some_and(|s| s.cache == slow)), "tried again some day");
+}
