--- a/src/policy.rs
+++ b/src/policy.rs
@@ -595,8 +595,7 @@
     }
 
     /// The part of its weight that is left to a machine slower than its fellows. Guards against parents that
-    /// slow, pause or crowd, and caches that answer all but crawl. Harm: what a merely busy one holds is fetched
-    /// by a second.
+    /// slow, pause or crowd, and caches that crawl. Harm: what a merely busy one holds is fetched anew.
     fn quickness(&self, c: &Cache) -> f64 {
         let n = self.fellows(c).count().max(1) as f64;
         let others = self.fellows(c).map(|f| f.pace_at(self.now)).sum::<f64>() / n;
