Shrink the limit on fills only for late, overdue and turned away ones

Each spoilt answer ends a connection, and each of the 5 to 20 attempts on it ended 'severed'; bad clients' requests ended 'errored'. Each of those shrank the limit by 7% (35 -> 8). Ruled out: slow caches (hits at their usual 0.16 to 0.3 ms a KB throughout), sources, the front's own time. At fault: policy.rs outcome(), 'crowded', whose last arm took any other end for a sign of crowded links. Test: tests/failures.rs broken_connections_leave_the_limit_on_fills_alone.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -719,8 +719,8 @@
         let crowded = match o.ending {
             _ if slow => false,
             Ending::Completed => !in_time,
-            Ending::LookupMiss | Ending::Recalled | Ending::Superseded => false,
-            _ => true,
+            // A break or an error is the cache's or one connection's: it tells nothing of links and sources.
+            o => matches!(o, Ending::Saturated | Ending::Overdue),
         };
         // Only a limit that is being used may rise: else quiet times would raise it for nothing.
         if way == Way::Fill {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -304,3 +304,24 @@
     r.now += 60_000.0;
     assert!((2000..2200).any(|o| sent(&r.ask(o)).is_some_and(|s| s.cache == slow)), "tried again some day");
 }
+
+/// Incident "spoilt answers": a cache's broken connections and errors tell nothing of the links. They used to shrink
+/// the limit on fills with each attempt that a connection carried.
+#[test]
+fn broken_connections_leave_the_limit_on_fills_alone() {
+    let room = |endings: &[Ending]| {
+        let mut r = Rig::new();
+        for (n, &ending) in endings.iter().enumerate() {
+            let s = sent(&r.ask(1000 + n as u64)).expect("sent");
+            r.now += 20.0;
+            let again = sent(&r.end(&s, 0, ending, 0)).expect("tried again");
+            r.end(&again, 1, Ending::Completed, 2);
+            // Time enough for the health of its machines to be forgotten.
+            (0..20).for_each(|_| drop(r.serve(1, 1)));
+        }
+        (2000..2400).filter(|&o| sent(&r.ask(o)).is_some()).count()
+    };
+    let calm = room(&[]);
+    assert!(room(&[Ending::Severed; 20]) >= calm);
+    assert!(room(&[Ending::Errored; 20]) >= calm);
+}
