Give clients' places to those that use them, and check their calls strictly

Checked: usual clients send every field but 'seen', in one form (18,000 calls read); none is open more than a few times. At fault: server.rs run() closed the newcomer, IDLE was 60 s, nothing bounded the time to the first message or the end of one; request() took signs, exponents, upper case, absent figures and bodies on reads; caps were constants (64 MB of unread answers) whatever limits.memory_mb said. Now: the least needed connection gives its place (never spoke, never served, longest unused); 2 s to speak and to end what was begun, 5 s unused; call.rs is the one pure check with a typed error; budget.rs reckons every cap; more than 32 open calls on a connection are refused; a claimed size moves the module's mean by the class's time at most.

--- /dev/null
+++ b/front/src/call.rs
@@ -0,0 +1,184 @@
+//! What a client's call asks for: read, and checked before any of it reaches the module or a cache node.
+
+use crate::msgpack_rpc::Fields;
+use crate::relay::Ask;
+use fernslip::{Class, ObjectId, Request, RequestId};
+use std::fmt;
+
+/// Of what a client waits, kept back for the way there and back.
+const WAY_MS: f64 = 20.0;
+/// No client waits longer, and no part is larger, in KB: what is above is a mistake.
+const MOST_PATIENCE_MS: f64 = 3_600_000.0;
+const MOST_SIZE_KB: f64 = 1e9;
+/// A write's body.
+const MOST_BODY: usize = 48_000;
+const MOST_TAG: usize = 64;
+
+/// Why a call can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// There is no such class.
+    Class,
+    /// A field is missing.
+    Missing(&'static str),
+    /// A field is there twice.
+    Twice,
+    /// A field's value is not of its form, or out of range.
+    Field(&'static str),
+    /// A read that brings a body, or a write whose body is too long.
+    Body,
+}
+
+impl CallError {
+    /// The field that is at fault.
+    pub fn field(self) -> &'static str {
+        match self {
+            CallError::Class => "class",
+            CallError::Missing(f) | CallError::Field(f) => f,
+            CallError::Twice => "fields",
+            CallError::Body => "body",
+        }
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::Class => f.write_str("no such class"),
+            CallError::Missing(name) => write!(f, "{name} is missing"),
+            CallError::Twice => f.write_str("a field is there twice"),
+            CallError::Field(name) => write!(f, "{name} can't be used"),
+            CallError::Body => f.write_str("the body does not belong there"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// 16 lower-case hex digits: they go on unchanged, and cache nodes know no other form.
+fn hex(v: &str) -> Option<u64> {
+    let digits = v.len() == 16 && v.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+    u64::from_str_radix(v, 16).ok().filter(|_| digits)
+}
+
+/// Digits alone: what a number's own parser takes besides (a sign, an exponent, a name) is no figure here.
+fn whole(v: &str) -> Option<u64> {
+    v.parse().ok().filter(|_| v.bytes().all(|b| b.is_ascii_digit()))
+}
+
+/// Digits, and a fraction if there is one.
+fn decimal(v: &str) -> Option<f64> {
+    let digits = |s: &str| !s.is_empty() && s.bytes().all(|b| b.is_ascii_digit());
+    let (int, fraction) = v.split_once('.').unwrap_or((v, "0"));
+    v.parse().ok().filter(|_| digits(int) && digits(fraction))
+}
+
+/// Reads a call to one of the deployment's classes.
+pub fn read(
+    classes: &[Class],
+    method: &str,
+    fields: Fields,
+    body: Vec<u8>,
+) -> Result<(Request, Ask), CallError> {
+    let class = classes.iter().position(|c| c.name == method).ok_or(CallError::Class)?;
+    if body.len() > if classes[class].write { MOST_BODY } else { 0 } {
+        return Err(CallError::Body);
+    }
+    let names = ["trace", "entity", "slice", "set", "size", "patience", "seen"];
+    let mut values: [Option<String>; 7] = Default::default();
+    for (name, value) in fields {
+        let Some(at) = names.iter().position(|n| *n == name) else { continue };
+        if values[at].replace(value).is_some() {
+            return Err(CallError::Twice);
+        }
+    }
+    let [trace, item, chunk, set, size, patience, known] = values;
+    let need = |v: Option<String>, name| v.ok_or(CallError::Missing(name));
+    let (trace, item, chunk) = (need(trace, "trace")?, need(item, "entity")?, need(chunk, "slice")?);
+    let (set, size, patience) = (need(set, "set")?, need(size, "size")?, need(patience, "patience")?);
+    let bad = CallError::Field;
+    let in_range = |v: Option<f64>, most: f64, name| v.filter(|n| *n <= most).ok_or(bad(name));
+    let request = Request {
+        id: RequestId(hex(&trace).ok_or(bad("trace"))?),
+        object: ObjectId(hex(&item).ok_or(bad("entity"))?),
+        part: whole(&chunk).and_then(|n| n.try_into().ok()).ok_or(bad("slice"))?,
+        class,
+        size_kb: in_range(decimal(&size), MOST_SIZE_KB, "size")?,
+        budget_ms: (in_range(decimal(&patience), MOST_PATIENCE_MS, "patience")? - WAY_MS).max(0.0),
+        group: whole(&set).filter(|n| *n <= 255).ok_or(bad("set"))?,
+    };
+    // Passed on inside a list of fields: what would end a field there can't be meant.
+    let tag = |k: &str| k.len() <= MOST_TAG && k.bytes().all(|b| b.is_ascii_alphanumeric());
+    if known.as_ref().is_some_and(|k| !tag(k)) {
+        return Err(bad("seen"));
+    }
+    Ok((request, Ask { trace, class: method.to_string(), item, chunk, known, body }))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn classes() -> Vec<Class> {
+        let text = include_str!("../../examples/config.json");
+        let config: serde_json::Value = serde_json::from_str(text).expect("the example");
+        fernslip::json::settings(&config["settings"]).expect("its settings").0.classes
+    }
+
+    fn call(class: &str, change: &[(&str, Option<&str>)], body: usize) -> Result<Request, CallError> {
+        let good = [
+            ("trace", "9b1f03aa5c7e2d41"),
+            ("patience", "1500"),
+            ("entity", "7f3a9c21e0b4d655"),
+            ("slice", "3"),
+            ("set", "17"),
+            ("size", "412.5"),
+        ];
+        let mut fields: Vec<(String, String)> = Vec::new();
+        for (name, value) in good {
+            let changed = change.iter().find(|c| c.0 == name).map_or(Some(value), |c| c.1);
+            fields.extend(changed.map(|v| (name.to_string(), v.to_string())));
+        }
+        read(&classes(), class, fields, vec![0; body]).map(|r| r.0)
+    }
+
+    #[test]
+    fn what_is_in_form_is_read() {
+        let r = call("statement-docs", &[], 0).expect("good");
+        assert_eq!((r.id.0, r.object.0), (0x9b1f_03aa_5c7e_2d41, 0x7f3a_9c21_e0b4_d655));
+        assert_eq!((r.part, r.group, r.size_kb, r.budget_ms), (3, 17, 412.5, 1480.0));
+        assert!(call("contribution-change", &[], 48_000).is_ok());
+    }
+
+    /// Guards the module's sums and the lines to cache nodes: each of these reached both once.
+    #[test]
+    fn what_is_not_is_told_by_its_field() {
+        assert_eq!(call("no-such-class", &[], 0).unwrap_err(), CallError::Class);
+        assert_eq!(call("statement-docs", &[], 1).unwrap_err(), CallError::Body);
+        assert_eq!(call("contribution-change", &[], 48_001).unwrap_err(), CallError::Body);
+        for name in ["trace", "patience", "entity", "slice", "set", "size"] {
+            assert_eq!(call("statement-docs", &[(name, None)], 0).unwrap_err(), CallError::Missing(name));
+            for value in ["", "x", "-1", "+3", "1e3", "nan", "inf", "0x10", "99999999999999999999999", "1 "] {
+                let got = call("statement-docs", &[(name, Some(value))], 0);
+                assert_eq!(got.unwrap_err(), CallError::Field(name), "{name}={value}");
+            }
+        }
+        for (name, value) in [
+            ("trace", "9B1F03AA5C7E2D41"),
+            ("entity", "7f3a9c21e0b4d65"),
+            ("set", "256"),
+            ("slice", "4294967296"),
+            ("size", ".5"),
+            ("size", "5."),
+        ] {
+            let got = call("statement-docs", &[(name, Some(value))], 0);
+            assert_eq!(got.unwrap_err(), CallError::Field(name), "{name}={value}");
+        }
+    }
+
+    #[test]
+    fn a_field_is_there_once() {
+        let twice = ["4", "5"].map(|v| ("slice".to_string(), v.to_string())).to_vec();
+        assert_eq!(read(&classes(), "statement-docs", twice, Vec::new()).unwrap_err(), CallError::Twice);
+    }
+}
--- a/front/src/config.rs
+++ b/front/src/config.rs
@@ -1,5 +1,6 @@
 //! What a front is told when it starts.
 
+use crate::budget::Budget;
 use fernslip::json::{self, JsonError, Names};
 use fernslip::{Settings, SettingsError};
 use serde_json::Value;
@@ -8,9 +9,6 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// Requests open at once: more than any deployment asks of one core, few enough for its memory.
-const MOST_OPEN: u32 = 2048;
-
 /// All of it, checked.
 pub struct Config {
     /// The file it was read from, to be read again on SIGHUP; `None`: there is none.
@@ -21,8 +19,8 @@
     pub listen: SocketAddr,
     /// For random numbers.
     pub seed: u64,
-    /// Descriptors it may hold.
-    pub sockets: usize,
+    /// What it may hold.
+    pub budget: Budget,
     /// Where peers' messages come in; `None`: it has no peers.
     pub peer_listen: Option<SocketAddr>,
     /// All fronts of the tier, by their numbers.
@@ -111,7 +109,10 @@
     pub fn parse(v: &Value) -> Result<Config, ConfigError> {
         let (mut settings, names) = json::settings(&v["settings"])?;
         settings.check().map_err(ConfigError::Settings)?;
-        settings.max_open = settings.max_open.min(MOST_OPEN);
+        let limits = &v["limits"];
+        let budget =
+            Budget::of(json::num(limits, "sockets")? as usize, json::num(limits, "memory_mb")? as usize);
+        settings.max_open = settings.max_open.min(budget.open as u32);
         let per = &v["settings"]["permissions"];
         let optional = |key: &str| match &v[key] {
             Value::Null => Ok(None),
@@ -126,7 +127,7 @@
             name: json::text(v, "name")?.to_string(),
             listen: address(&v["listen"], "listen")?,
             seed: json::hex(v, "seed")?,
-            sockets: json::num(&v["limits"], "sockets")? as usize,
+            budget,
             peer_listen: optional("peer_listen")?,
             peers,
             peers_all: optional("peers_all")?,
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -3,8 +3,10 @@
 //!
 //! [`start`] takes a [`config::Config`] and serves until the process is told to end.
 
+pub mod budget;
 pub mod buffer;
 pub mod bus;
+pub mod call;
 pub mod clock;
 pub mod config;
 pub mod link;
@@ -39,8 +41,6 @@
 const WORKERS: usize = 1;
 /// Words of a coroutine's stack; only what is touched costs memory.
 const STACK_WORDS: usize = 0x4000;
-/// Shares of the descriptors: clients are promised a third, nodes may take as many.
-const SHARES: usize = 3;
 /// The module's timers are run this often at least.
 const TICK: Duration = Duration::from_millis(5);
 const SWEEP: Duration = Duration::from_millis(100);
@@ -139,12 +139,12 @@
     let leave = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(signal_hook::consts::SIGTERM, leave.clone()).map_err(StartError::Signal)?;
     let reload = Reload::catch(config.file).map_err(StartError::Signal)?;
-    let most = config.sockets / SHARES;
+    let budget = config.budget;
     let limits = Limits {
         streams: config.streams,
         connect_timeout: config.connect_timeout,
         idle: config.idle,
-        connections: most,
+        connections: budget.upstream,
     };
     let upstream = Arc::new(Upstream::new(limits, log.clone()));
     let peers = match config.peer_listen {
@@ -158,14 +158,15 @@
     let listen = listener.local_addr().unwrap_or(config.listen);
     let ways = Ways { upstream: upstream.clone(), peers: peers.clone(), log: log.clone() };
     // The longest that a client waits, and a little to write the last answer.
-    let longest = config.settings.classes.iter().map(|c| c.deadline_ms).fold(3000.0, f64::max) + 500.0;
+    let classes = config.settings.classes.clone();
+    let longest = classes.iter().map(|c| c.deadline_ms).fold(3000.0, f64::max) + 500.0;
     let dispatcher = Dispatcher::new(config.settings, config.seed, ways).map_err(StartError::Settings)?;
     let front = Arc::new(Shared {
         clock,
         names: config.names,
         dispatcher,
         upstream,
-        server: server::Server::default(),
+        server: server::Server::new(budget, classes),
         bus: Bus::new(config.bus),
         log,
         listed: AtomicBool::new(false),
@@ -185,7 +186,7 @@
     }
     front.log.line(format!("front {} listens on {listen}", config.name));
     let f = front.clone();
-    spawn(move || f.server.run(&f, &listener, most + most / 4));
+    spawn(move || f.server.run(&f, &listener));
     let f = front.clone();
     spawn(move || loop {
         let next = f.dispatcher.tick(f.clock.now());
--- a/front/src/log.rs
+++ b/front/src/log.rs
@@ -59,8 +59,14 @@
     Refused,
     /// The machine did not take it up in time.
     ConnectTimeout,
-    /// There are as many connections as may be.
+    /// There are as many connections as may be, and this one needed its place least.
     TooMany,
+    /// It was made and nothing was asked.
+    NoRequest,
+    /// A message was begun and not ended.
+    Stalled,
+    /// Memory has no room for what comes.
+    NoRoom,
     /// The machine left the list.
     Retired,
     /// This front is ending.
@@ -87,6 +93,9 @@
             Reason::Refused => "refused",
             Reason::ConnectTimeout => "connect_timeout",
             Reason::TooMany => "too_many",
+            Reason::NoRequest => "no_request",
+            Reason::Stalled => "stalled",
+            Reason::NoRoom => "no_room",
             Reason::Retired => "retired",
             Reason::Shutdown => "shutdown",
             Reason::Stuck => "stuck",
--- a/front/src/msgpack_rpc.rs
+++ b/front/src/msgpack_rpc.rs
@@ -6,8 +6,9 @@
 
 /// A write's 48,000 bytes and the fields, with room to spare; nothing longer is a message. Bounds what one
 /// connection's buffer can hold.
-const MOST_BYTES: usize = 128 * 1024;
+const MOST_BYTES: usize = 56 * 1024;
 const MOST_DEPTH: usize = 8;
+const MOST_FIELDS: u32 = 64;
 
 /// Fields by name.
 pub type Fields = Vec<(String, String)>;
@@ -117,7 +118,7 @@
 }
 
 fn map(rd: &mut Bytes<'_>) -> Option<Fields> {
-    let len = decode::read_map_len(rd).ok()?;
+    let len = decode::read_map_len(rd).ok().filter(|n| *n <= MOST_FIELDS)?;
     (0..len).map(|_| Some((string(rd)?, string(rd)?))).collect()
 }
 
--- a/front/src/server.rs
+++ b/front/src/server.rs
@@ -1,102 +1,93 @@
 //! Clients: their connections, and what they ask.
 
+use crate::budget::Budget;
 use crate::buffer::Buffer;
+use crate::call;
 use crate::link::{lock, Link};
 use crate::log::Reason;
 use crate::msgpack_rpc::{self as rpc, Fields, Message};
-use crate::relay::{self, Answer, Ask};
+use crate::relay::{self, Answer};
 use crate::spawn::spawn;
 use crate::Shared;
-use fernslip::{ObjectId, Request, RequestId};
+use fernslip::{Class, RequestId};
 use may::net::{TcpListener, TcpStream};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Open requests on one connection; clients keep to 32.
-const MOST_OPEN: usize = 64;
+/// Open requests on one connection: the protocol's own figure. More are refused, so that no client has the whole
+/// front to itself.
+const MOST_OPEN: usize = 32;
 /// Answers of one connection that wait to be read: all that may be open, at the longest.
-const MOST_WAITING: usize = MOST_OPEN * 256 * 1024 / 2;
-/// Answers of all connections that wait: what memory has room for.
-const MOST_WAITING_IN_ALL: usize = 64 << 20;
-/// Bodies of open writes, all together; more is refused before it is a request.
-const MOST_BODIES: usize = 24 << 20;
-/// When one that memory had no room for may come back, in milliseconds.
-const NO_ROOM_PAUSE: f64 = 500.0;
-/// An idle connection is closed; clients do so long before.
-const IDLE: Duration = Duration::from_secs(60);
-/// Of what a client waits, kept back for the way there and back.
-const WAY_MS: f64 = 20.0;
+const MOST_UNREAD: usize = MOST_OPEN * 256 * 1024;
+/// When one that there was no room for may come back, in milliseconds.
+const NO_ROOM_PAUSE: &str = "500";
+/// An idle connection is closed; clients close theirs after 4 s, but some keep it for good.
+const IDLE: Duration = Duration::from_secs(5);
+/// A client that has connected says something within this time, and what it has begun to say it ends. Guards the
+/// places for others against those that connect and say nothing, or half of it.
+const SPEAK: Duration = Duration::from_secs(2);
+/// Where all places are taken, a connection that has said nothing yet keeps its place for so long.
+const FRESH: Duration = Duration::from_millis(200);
 
-#[derive(Default)]
 struct Open {
     /// By the call's number on this connection.
     calls: HashMap<u32, RequestId>,
+    /// No call is open since then.
     idle_since: Option<Instant>,
-    waiting: usize,
+    /// A message has come in part since then.
+    partial_since: Option<Instant>,
+    /// Bytes of that part.
+    partial: usize,
+    /// Bytes that wait to be read.
+    unread: usize,
     taken: u64,
+    /// A whole message came.
+    spoke: bool,
+    /// A request was served: this is a client as they should be.
+    served: bool,
 }
 
 /// One client's connection.
-#[derive(Default)]
 struct Client {
     link: Link,
     open: Mutex<Open>,
 }
 
 /// All clients' connections.
-#[derive(Default)]
 pub struct Server {
+    budget: Budget,
+    classes: Vec<Class>,
     clients: Mutex<HashMap<u64, Arc<Client>>>,
-    next: AtomicUsize,
-    waiting: AtomicUsize,
+    next: AtomicU64,
+    unread: AtomicUsize,
     bodies: AtomicUsize,
+    partial: AtomicUsize,
     closed: AtomicBool,
 }
 
-/// Reads what a call asks for.
-fn request(
-    front: &Shared,
-    method: &str,
-    fields: Fields,
-    body: Vec<u8>,
-) -> Result<(Request, Ask), &'static str> {
-    let mut by_name: HashMap<String, String> = fields.into_iter().collect();
-    let mut text = |name: &'static str| by_name.remove(name).ok_or(name);
-    let (trace, item, chunk) = (text("trace")?, text("entity")?, text("slice")?);
-    let hex = |v: &str, name| {
-        let digits = v.len() == 16 && v.bytes().all(|b| b.is_ascii_hexdigit());
-        u64::from_str_radix(v, 16).ok().filter(|_| digits).ok_or(name)
-    };
-    let number = |v: String, name| v.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0).ok_or(name);
-    let request = Request {
-        id: RequestId(hex(&trace, "trace")?),
-        object: ObjectId(hex(&item, "entity")?),
-        part: chunk.parse().map_err(|_| "slice")?,
-        class: front.names.classes.iter().position(|c| c == method).ok_or("class")?,
-        size_kb: text("size").map_or(Ok(0.0), |v| number(v, "size"))?,
-        budget_ms: (number(text("patience")?, "patience")? - WAY_MS).max(0.0),
-        group: text("set").map_or(Ok(0), |v| v.parse().map_err(|_| "set"))?,
-    };
-    let known = text("seen").ok();
-    // Passed on inside a list of fields: what would end a field there can't be meant.
-    if known.as_ref().is_some_and(|k| !k.bytes().all(|b| b.is_ascii_alphanumeric())) {
-        return Err("seen");
+impl Client {
+    fn new() -> Client {
+        let open = Open {
+            calls: HashMap::new(),
+            idle_since: Some(Instant::now()),
+            partial_since: None,
+            partial: 0,
+            unread: 0,
+            taken: 0,
+            spoke: false,
+            served: false,
+        };
+        Client { link: Link::default(), open: Mutex::new(open) }
     }
-    Ok((request, Ask { trace, class: method.to_string(), item, chunk, known, body }))
-}
 
-impl Client {
     fn send(&self, front: &Shared, bytes: Vec<u8>) {
-        if let Some(waiting) = self.link.send(bytes, None) {
-            let before = std::mem::replace(&mut lock(&self.open).waiting, waiting);
-            let all = &front.server.waiting;
-            let total = all.fetch_add(waiting, Ordering::Relaxed) + waiting;
-            all.fetch_sub(before, Ordering::Relaxed);
+        if let Some(unread) = self.link.send(bytes, None) {
+            let total = moved(&front.server.unread, &mut lock(&self.open).unread, unread);
             // A client that does not read must not cost the others their memory.
-            if waiting > MOST_WAITING || waiting > 0 && total - before > MOST_WAITING_IN_ALL {
+            if unread > MOST_UNREAD || unread > 0 && total > front.server.budget.unread {
                 self.link.close(Reason::SlowReader);
             }
         }
@@ -112,6 +103,7 @@
             if open.calls.is_empty() {
                 open.idle_since = Some(Instant::now());
             }
+            open.served |= matches!(answer, Answer::Served(_));
         }
         let bytes = match answer {
             Answer::Served(r) if r.current => rpc::served(call, &[], &[("current", "1")]),
@@ -129,41 +121,46 @@
     fn call(
         self: &Arc<Self>,
         front: &Arc<Shared>,
-        call: u32,
+        number: u32,
         method: String,
         fields: Fields,
         body: Vec<u8>,
     ) -> Result<(), Reason> {
         if method == "isWell" {
-            self.send(front, rpc::well(call, front.is_well()));
+            self.send(front, rpc::well(number, front.is_well()));
             return Ok(());
         }
-        let (request, ask) = match request(front, &method, fields, body) {
+        let (request, ask) = match call::read(&front.server.classes, &method, fields, body) {
             Ok(r) => r,
-            Err(field) => {
-                self.send(front, rpc::error(call, "Fault", &[("field", field)]));
+            Err(why) => {
+                self.send(front, rpc::error(number, "Fault", &[("field", why.field())]));
                 return Ok(());
             }
         };
+        let bytes = ask.body.len();
         {
             let mut open = lock(&self.open);
-            if open.calls.len() >= MOST_OPEN || open.calls.insert(call, request.id).is_some() {
+            if open.calls.contains_key(&number) {
                 return Err(Reason::Malformed);
             }
+            let bodies = &front.server.bodies;
+            if open.calls.len() >= MOST_OPEN
+                || bodies.load(Ordering::Relaxed) + bytes > front.server.budget.bodies
+            {
+                drop(open);
+                self.send(front, rpc::error(number, "Shed", &[("pause", NO_ROOM_PAUSE)]));
+                return Ok(());
+            }
+            bodies.fetch_add(bytes, Ordering::Relaxed);
+            open.calls.insert(number, request.id);
             open.idle_since = None;
             open.taken += 1;
         }
-        let bytes = ask.body.len();
-        if front.server.bodies.fetch_add(bytes, Ordering::Relaxed) + bytes > MOST_BODIES {
-            front.server.bodies.fetch_sub(bytes, Ordering::Relaxed);
-            self.answer(front, call, Answer::Refused(NO_ROOM_PAUSE));
-            return Ok(());
-        }
         let (client, front) = (self.clone(), front.clone());
         spawn(move || {
             let answer = relay::serve(&front.dispatcher, &front.upstream, &front.clock, request, &ask);
             front.server.bodies.fetch_sub(bytes, Ordering::Relaxed);
-            client.answer(&front, call, answer);
+            client.answer(&front, number, answer);
         });
         Ok(())
     }
@@ -183,10 +180,9 @@
     }
 
     fn take(self: &Arc<Self>, front: &Arc<Shared>, buffer: &mut Buffer) -> Result<(), Reason> {
-        loop {
-            let Some((len, message)) = rpc::parse(buffer.data()).map_err(|_| Reason::Malformed)? else {
-                return Ok(());
-            };
+        let mut whole = false;
+        while let Some((len, message)) = rpc::parse(buffer.data()).map_err(|_| Reason::Malformed)? {
+            whole = true;
             buffer.consume(len);
             match message {
                 Message::Call { id, method, fields, body } => self.call(front, id, method, fields, body)?,
@@ -194,24 +190,88 @@
                 Message::Other => {}
             }
         }
+        let (mut open, now) = (lock(&self.open), Instant::now());
+        if whole {
+            open.spoke = true;
+            open.partial_since = None;
+            open.idle_since = open.idle_since.map(|_| now);
+        }
+        let left = buffer.data().len();
+        open.partial_since = (left > 0).then(|| open.partial_since.unwrap_or(now));
+        let total = moved(&front.server.partial, &mut open.partial, left);
+        // Clients that begin long messages and don't end them must not cost the others their memory.
+        if left > 0 && total > front.server.budget.partial {
+            return Err(Reason::NoRoom);
+        }
+        Ok(())
+    }
+
+    /// Why it is to be closed, if it is.
+    fn overdue(&self, now: Instant) -> Option<Reason> {
+        let open = lock(&self.open);
+        let over = |at: Option<Instant>, limit| at.is_some_and(|at| now.duration_since(at) >= limit);
+        match () {
+            () if over(open.partial_since, SPEAK) => Some(Reason::Stalled),
+            () if !open.spoke && over(open.idle_since, SPEAK) => Some(Reason::NoRequest),
+            () if over(open.idle_since, IDLE) && self.link.is_drained() => Some(Reason::Idle),
+            () => None,
+        }
+    }
+
+    /// How readily it gives its place to another: by kind, then by the time without an open call. `None`: it
+    /// keeps it.
+    fn spare(&self, now: Instant) -> Option<(u8, Duration)> {
+        let open = lock(&self.open);
+        let idle = now.duration_since(open.idle_since?);
+        match (open.served, open.spoke) {
+            (true, _) if open.partial > 0 => None,
+            (true, _) => Some((0, idle)),
+            (false, true) => Some((1, idle)),
+            (false, false) => Some((2, idle)).filter(|_| idle >= FRESH),
+        }
+        .filter(|_| self.link.is_drained())
     }
 }
 
+/// Sets one connection's part of a count; the count.
+fn moved(all: &AtomicUsize, part: &mut usize, now: usize) -> usize {
+    let before = std::mem::replace(part, now);
+    all.fetch_add(now, Ordering::Relaxed);
+    all.fetch_sub(before, Ordering::Relaxed) - before
+}
+
 impl Server {
+    /// No client yet; what they may hold, and the classes they ask for.
+    pub fn new(budget: Budget, classes: Vec<Class>) -> Server {
+        Server {
+            budget,
+            classes,
+            clients: Mutex::default(),
+            next: AtomicU64::new(0),
+            unread: AtomicUsize::new(0),
+            bodies: AtomicUsize::new(0),
+            partial: AtomicUsize::new(0),
+            closed: AtomicBool::new(false),
+        }
+    }
+
     /// Takes clients in until the front ends.
-    pub fn run(&self, front: &Arc<Shared>, listener: &TcpListener, most: usize) {
+    pub fn run(&self, front: &Arc<Shared>, listener: &TcpListener) {
         loop {
             match listener.accept() {
                 Ok((stream, _)) if self.closed.load(Ordering::Acquire) => drop(stream),
                 Ok((stream, peer)) => {
-                    if lock(&self.clients).len() >= most {
-                        front
-                            .log
-                            .line(format!("end kind=client peer={peer} reason={}", Reason::TooMany.code()));
+                    if !self.make_place() {
+                        let code = Reason::TooMany.code();
+                        front.log.line(format!("end kind=client peer={peer} reason={code}"));
                         continue;
                     }
+                    // Listed at once: the next one to come is counted against it.
+                    let number = self.next.fetch_add(1, Ordering::Relaxed);
+                    let client = Arc::new(Client::new());
+                    lock(&self.clients).insert(number, client.clone());
                     let front = front.clone();
-                    spawn(move || front.server.serve(&front, stream, peer));
+                    spawn(move || front.server.serve(&front, number, &client, stream, peer));
                 }
                 // Out of descriptors, or a client that left at once: the next may be fine.
                 Err(_) => may::coroutine::sleep(Duration::from_millis(5)),
@@ -219,20 +279,40 @@
         }
     }
 
-    fn serve(&self, front: &Arc<Shared>, stream: TcpStream, peer: SocketAddr) {
-        let number = self.next.fetch_add(1, Ordering::Relaxed) as u64;
-        let client = Arc::new(Client::default());
-        lock(&client.open).idle_since = Some(Instant::now());
-        lock(&self.clients).insert(number, client.clone());
+    /// Whether there is a place for one more, be it that of the connection that needs it least: one that never
+    /// said a thing, was never served, or is unused for longest. Guards the clients that come against those that
+    /// asked once and stay.
+    fn make_place(&self) -> bool {
+        let mut clients = lock(&self.clients);
+        if clients.len() < self.budget.clients {
+            return true;
+        }
+        let now = Instant::now();
+        let spare = clients.iter().filter_map(|(n, c)| c.spare(now).map(|s| (s, *n))).max();
+        let Some(client) = spare.and_then(|(_, number)| clients.remove(&number)) else { return false };
+        client.link.close(Reason::TooMany);
+        true
+    }
+
+    fn serve(
+        &self,
+        front: &Arc<Shared>,
+        number: u64,
+        client: &Arc<Client>,
+        stream: TcpStream,
+        peer: SocketAddr,
+    ) {
         client.link.up(stream);
         let why = client.link.run(|buffer| client.take(front, buffer));
         let _ = client.link.shut();
         lock(&self.clients).remove(&number);
-        let (left, waiting, taken) = {
+        let (left, taken) = {
             let mut open = lock(&client.open);
-            (std::mem::take(&mut open.calls), std::mem::take(&mut open.waiting), open.taken)
+            let open = &mut *open;
+            moved(&self.unread, &mut open.unread, 0);
+            moved(&self.partial, &mut open.partial, 0);
+            (std::mem::take(&mut open.calls), open.taken)
         };
-        self.waiting.fetch_sub(waiting, Ordering::Relaxed);
         front.log.line(format!(
             "end kind=client peer={peer} reason={} taken={taken} unanswered={}",
             why.code(),
@@ -243,14 +323,14 @@
         }
     }
 
-    /// Closes connections that nobody uses.
+    /// Closes connections that nobody uses; all that are idle where the front is ending.
     pub fn sweep(&self, ending: bool) {
         let now = Instant::now();
-        let limit = if ending { Duration::ZERO } else { IDLE };
         for c in lock(&self.clients).values() {
-            let idle = lock(&c.open).idle_since.is_some_and(|at| now.duration_since(at) >= limit);
-            if idle && c.link.is_drained() {
-                c.link.close(if ending { Reason::Shutdown } else { Reason::Idle });
+            let idle = || lock(&c.open).idle_since.is_some() && c.link.is_drained();
+            let why = c.overdue(now).or_else(|| (ending && idle()).then_some(Reason::Shutdown));
+            if let Some(why) = why {
+                c.link.close(why);
             }
         }
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -402,7 +402,8 @@
             false if *mean > 0.0 => *mean,
             false => class.aim_ms * UNTOLD,
         };
-        *mean += (work_ms - *mean) * if *mean == 0.0 { 1.0 } else { MEAN_STEP };
+        // A client's own figure, however large, moves the sums by what fits into the time it may wait.
+        *mean += (work_ms.min(class.deadline_ms) - *mean) * if *mean == 0.0 { 1.0 } else { MEAN_STEP };
         let budget = if ask.budget_ms.is_finite() { ask.budget_ms.max(0.0) } else { class.deadline_ms };
         let deadline = self.now + budget;
         let aim_ms = (class.aim_ms + class.aim_stretch * work_ms).min(class.deadline_ms);
