--- a/front/src/link.rs
+++ b/front/src/link.rs
@@ -172,11 +172,11 @@
         why
     }
 
-    /// Nothing is taken any more; the tags of what was not written at all.
+    /// Nothing is taken any more; the tags of what was not written to its last byte.
     pub fn over(&self) -> Vec<u64> {
         let mut out = lock(&self.out);
         out.over = true;
-        out.chunks.iter().filter(|c| c.written == 0).filter_map(|c| c.tag).collect()
+        out.chunks.iter().filter_map(|c| c.tag).collect()
     }
 
     /// Shuts the stream for both sides.
--- a/front/src/relay.rs
+++ b/front/src/relay.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 /// A client's request in the words that are passed on unchanged.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Ask {
     /// The request's id.
     pub trace: String,
@@ -82,7 +82,7 @@
                 let sent = Instant::now();
                 let deadline = sent + clock.until(a.until_ms);
                 let line = fields(ask, &a, a.until_ms - clock.now());
-                let end = upstream.run(&a, &ask.trace, &line, &ask.body, deadline);
+                let end = upstream.run(&a, ask, &line, deadline);
                 if end.ending == Ending::Completed {
                     reply = end.reply;
                 }
--- a/front/src/resp.rs
+++ b/front/src/resp.rs
@@ -21,6 +21,11 @@
 }
 
 impl<'a> Answer<'a> {
+    /// Whether the fields have their form.
+    pub fn has_sound_fields(&self) -> bool {
+        matches!(self.fields, "-" | "") || self.fields.split(',').all(|f| f.contains('='))
+    }
+
     /// The value of a field.
     pub fn field(&self, name: &str) -> Option<&'a str> {
         self.fields.split(',').find_map(|f| f.split_once('=').filter(|f| f.0 == name)).map(|f| f.1)
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -734,7 +734,8 @@
                 g.limit += if now - g.crowded > FILLS_CALM_MS { 1.0 } else { 1.0 / g.limit.max(1.0) };
             }
         }
-        let silent = matches!(o.ending, Ending::Overdue | Ending::Recalled | Ending::RefusedConn);
+        let silent =
+            matches!(o.ending, Ending::Overdue | Ending::Recalled | Ending::RefusedConn | Ending::Superseded);
         if let Some(c) = self.caches.get_mut(&cache) {
             c.open.step(now, -1.0);
             if !silent {
@@ -748,6 +749,9 @@
             self.reqs.insert(o.id, req);
         } else if !req.done && self.retries < 1.0 {
             self.give_up(req, "too many retries", out);
+        } else if !req.done && req.attempts.iter().filter(|a| a.ending == Some(Ending::Errored)).count() > 1 {
+            // Two machines found an error in it: it is the request's own, and would be the next one's too.
+            self.give_up(req, "errors", out);
         } else if !req.done {
             self.retries -= 1.0;
             self.dispatch(req, out);
