Spread requests over connections, and keep off quiet ones and caches that turn away

At fault: upstream.rs checkout() gave whatever two a connection left over to the first one, silent or not; policy.rs learn() held 'saturated' against nobody, so the same cache came next, and counted it as a sign of crowded links. Now: the least shared connection is taken, one where something is asked and nothing came for 150 ms last; connections are counted against the machines in use; a part of an answer may pause for 250 ms instead of 400; turned away within 5 ms is the cache's own failure, not the links'. Tests: upstream.rs what_is_asked_is_spread_and_kept_off_quiet_connections, failures.rs a_cache_that_turns_away_unseen_is_left.

--- a/front/src/upstream.rs
+++ b/front/src/upstream.rs
@@ -26,8 +26,11 @@
 /// A connection takes so many requests before another is made, while there are places: what is spoilt or stops
 /// short ends all that share its connection.
 const SHARED: usize = 2;
-/// An answer that has begun and of which nothing more comes for so long never ends.
-const STALL: Duration = Duration::from_millis(400);
+/// A connection where something is asked and nothing came for so long gets nothing new while there are others.
+const QUIET: Duration = Duration::from_millis(150);
+/// An answer that has begun and of which nothing more comes for so long never ends; longer than a lost
+/// packet takes to be sent again.
+const STALL: Duration = Duration::from_millis(250);
 
 /// What the deployment allows.
 #[derive(Clone, Copy, Debug)]
@@ -229,6 +232,15 @@
         Ok(())
     }
 
+    /// How it is to be preferred, the least first: quiet ones last, as what is asked there may never be answered;
+    /// then by how many share it.
+    fn load(&self, now: Instant) -> (bool, usize) {
+        let open = lock(&self.open);
+        let oldest = open.slots.values().map(|s| s.since).min();
+        let since = oldest.map(|at| open.heard.map_or(at, |heard| heard.max(at)));
+        (since.is_some_and(|at| now.duration_since(at) > QUIET), open.slots.len())
+    }
+
     /// Why it is of no further use, if so.
     fn useless(&self, now: Instant, idle: Duration) -> Option<Reason> {
         let open = lock(&self.open);
@@ -359,18 +371,26 @@
         }
     }
 
-    /// A connection with a place for the attempt, be it one that is still coming up: one that few share, or a
-    /// new one while there are places, or one that more share.
+    /// A connection with a place for the attempt, be it one that is still coming up: one that few share and that
+    /// is not quiet, or a new one while there are places, or the one that fewest share.
     fn checkout(&self, a: &Attempt, slot: &Arc<Slot>) -> Result<Arc<Conn>, Ending> {
         let mut nodes = lock(&self.nodes);
-        let fair = (self.limits.connections / (2 * nodes.len().max(1))).max(1);
+        let used = nodes.values().filter(|n| !n.conns.is_empty()).count();
+        let fair = (self.limits.connections / (used + 1)).max(1);
         let node = nodes.get_mut(&a.cache).ok_or(Ending::RefusedConn)?;
         node.conns.retain(|c| !lock(&c.open).over);
+        let now = Instant::now();
+        let mut by_load: Vec<_> = node.conns.iter().map(|c| (c.load(now), c)).collect();
+        if let Some((_, c)) =
+            by_load.iter().find(|((quiet, n), c)| !quiet && *n < SHARED && c.admit(a.id, slot, SHARED))
+        {
+            return Ok((*c).clone());
+        }
         let full = self.connections.load(Ordering::Relaxed) >= self.limits.connections;
-        let shared = if full || node.conns.len() >= fair { self.limits.streams } else { SHARED };
-        for streams in [SHARED.min(shared), shared] {
-            if let Some(c) = node.conns.iter().find(|c| c.admit(a.id, slot, streams)) {
-                return Ok(c.clone());
+        if full || by_load.len() >= fair {
+            by_load.sort_by_key(|(load, _)| *load);
+            if let Some((_, c)) = by_load.iter().find(|(_, c)| c.admit(a.id, slot, self.limits.streams)) {
+                return Ok((*c).clone());
             }
         }
         if full {
@@ -476,6 +496,52 @@
         assert_eq!(ends, [Some(Ending::Severed), Some(Ending::Superseded)]);
     }
 
+    /// Guards all that would share a connection that has stopped: it cost up to 32 attempts their whole time.
+    #[test]
+    fn what_is_asked_is_spread_and_kept_off_quiet_connections() {
+        let limits = Limits {
+            streams: 32,
+            connect_timeout: Duration::from_millis(400),
+            idle: Duration::from_secs(9),
+            connections: 16, // half of them for machines to come
+        };
+        let upstream = Arc::new(Upstream::new(limits, Log::start()));
+        let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        upstream.know("s-1".into(), silent.local_addr().expect("bound"), 0.0);
+        let done = may::go!(move || {
+            let slot = Arc::new(Slot::new(false));
+            let took: Vec<_> = (0..24)
+                .map(|i| upstream.checkout(&attempt(i), &slot).map(|c| Arc::as_ptr(&c) as usize).ok())
+                .collect();
+            let conns = lock(&upstream.nodes)[&CacheId::from("s-1")].conns.clone();
+            (took, conns)
+        });
+        let (took, conns) = done.join().expect("no panic");
+        let firsts: std::collections::HashSet<_> = took[..16].iter().collect();
+        assert!(took.iter().all(Option::is_some));
+        assert_eq!(firsts.len(), 8, "two share a connection while there are places");
+        let now = Instant::now();
+        assert!(conns.iter().all(|c| c.load(now).1 == 3), "then all share evenly");
+        assert!(conns.iter().all(|c| c.load(now + 2 * QUIET).0), "nothing came");
+        lock(&conns[0].open).heard = Some(now + 2 * QUIET);
+        assert!(!conns[0].load(now + 2 * QUIET).0);
+    }
+
+    fn attempt(id: u64) -> Attempt {
+        Attempt {
+            id: RequestId(id),
+            number: 0,
+            cache: "s-1".into(),
+            source: None,
+            until_ms: 0.0,
+            rank: 0,
+            age_ms: 0.0,
+            join: false,
+            renew: false,
+            called_off: Arc::default(),
+        }
+    }
+
     #[test]
     fn a_wait_shorter_than_a_millisecond_ends() {
         assert_eq!(whole_ms(Duration::from_micros(1)), Duration::from_millis(1));
@@ -494,18 +560,7 @@
             .map(|i| {
                 let upstream = upstream.clone();
                 may::go!(move || {
-                    let a = Attempt {
-                        id: RequestId(i),
-                        number: 0,
-                        cache: "s-1".into(),
-                        source: None,
-                        until_ms: 0.0,
-                        rank: 0,
-                        age_ms: 0.0,
-                        join: false,
-                        renew: false,
-                        called_off: Arc::default(),
-                    };
+                    let a = attempt(i);
                     let deadline = Instant::now() + Duration::from_micros(30_000 + 137 * i);
                     let ask = Ask { trace: format!("{i:016x}"), ..Ask::default() };
                     upstream.run(&a, &ask, "cls=x", deadline).ending
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,6 +31,8 @@
 const SAME_FAILURE_MS: f64 = 5.0; // a broken connection ends all attempts on it: one failure
 const FIRST_TRIAL_MS: f64 = 600.0; // from ejection to the first trial
 const TRIAL_GAP_MS: f64 = 250.0; // between trials: four a second
+/// Turned away sooner than a source can be asked, it was the cache itself: it drains untold, or is full.
+const UNSEEN_MS: f64 = 5.0;
 /// Silence beyond twice the sending time of what was asked: longer than the stalls of a working cache.
 const SILENT_MS: f64 = 800.0;
 /// A trial of a silent cache gets this part of `SILENT_MS`, and its sending time.
@@ -726,7 +728,8 @@
             _ if slow => false,
             Ending::Completed => !in_time,
             // A break or an error is the cache's or one connection's: it tells nothing of links and sources.
-            o => matches!(o, Ending::Saturated | Ending::Overdue),
+            Ending::Saturated => o.elapsed_ms >= UNSEEN_MS,
+            o => o == Ending::Overdue,
         };
         // Only a limit that is being used may rise: else quiet times would raise it for nothing.
         if way == Way::Fill {
@@ -798,6 +801,7 @@
                 let late = o.ending == Ending::Overdue;
                 let told = self.set.notes == NoteLevel::All && o.detail != 0;
                 let (c, s) = match (o.ending, o.detail) {
+                    (Ending::Saturated, 0) if o.elapsed_ms < UNSEEN_MS => (1.0, 0.0),
                     (_, 8..=10) | (Ending::Saturated, 0) => (0.0, 0.0),
                     _ if late && !quiet(cache) && (shown || crawls || !quiet(source)) => (0.0, 0.0),
                     _ if late && !quiet(cache) => (0.0, 1.0),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -346,3 +346,23 @@
     assert!(room(30) >= room(0));
     assert!(room(4) < room(0), "many of them are");
 }
+
+/// Incident "it drains untold": a cache that turns away at once, sooner than any source could, is not asked again for
+/// the same request, then for none; the limit on fills is not to blame. It cost all tries of all its requests.
+#[test]
+fn a_cache_that_turns_away_unseen_is_left() {
+    let mut r = Rig::new();
+    let home = r.serve(1, 1).cache;
+    for n in 0..8 {
+        let s = sent(&r.ask(1)).expect("sent");
+        r.now += 20.0;
+        if s.cache == home {
+            let again = sent(&r.end_after(&s, 0, (Ending::Saturated, 0), 1.0)).expect("tried again");
+            assert_ne!(again.cache, home, "elsewhere, at try {n}");
+            r.end(&again, 1, Ending::Completed, 1);
+        } else {
+            r.end(&s, 0, Ending::Completed, 1);
+        }
+    }
+    assert_ne!(sent(&r.ask(1)).expect("sent").cache, home, "for trials only");
+}
