--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -366,3 +366,17 @@
     }
     assert_ne!(sent(&r.ask(1)).expect("sent").cache, home, "for trials only");
 }
+
+/// Incident "bad clients": what two machines answer with an error is the request's own fault. It used to be carried to
+/// one machine after the other, up to the last try.
+#[test]
+fn a_request_that_two_machines_find_in_error_goes_no_further() {
+    let mut r = Rig::new();
+    let first = sent(&r.ask(1)).expect("sent");
+    r.now += 5.0;
+    let second = sent(&r.end(&first, 0, Ending::Errored, 0)).expect("one may be to blame itself");
+    assert_ne!(second.cache, first.cache);
+    r.now += 5.0;
+    let over = r.end(&second, 1, Ending::Errored, 0);
+    assert!(sent(&over).is_none() && refused(&over), "{over:?}");
+}
