--- a/front/tests/talk.rs
+++ b/front/tests/talk.rs
@@ -64,7 +64,7 @@
     (0..digits.len() / 2).map(|i| u8::from_str_radix(&digits[2 * i..2 * i + 2], 16).expect("hex")).collect()
 }
 
-/// A listener of one party, and the connections that it took, the latest first.
+/// A listener of one party, and the connections that it took, the one that spoke last first.
 struct Party {
     listener: TcpListener,
     conns: Vec<(TcpStream, Vec<u8>)>,
@@ -90,9 +90,12 @@
                 stream.set_nonblocking(false).expect("a socket option");
                 self.conns.insert(0, (stream, Vec::new()));
             }
-            for (stream, held) in &mut self.conns {
+            for at in 0..self.conns.len() {
+                let (stream, held) = &mut self.conns[at];
                 if let Some((len, text)) = whole(held) {
                     held.drain(..len);
+                    // Answers go where it came from.
+                    self.conns[..=at].rotate_right(1);
                     return text;
                 }
                 let mut more = [0; 65536];
