Move the crates under crates/, and the program into one of its own

Need: subsystems come as crates of their own beside the heart, and the program is to gain a command line. Change: pure moves to crates/fernslip, front, benchlink and cli; the talks go with the program. relay and upstream imported each other: the client's words (Ask) now stand in call.rs, which both use.

--- a/front/tests/talk.rs
+++ b/crates/cli/tests/talk.rs
@@ -153,7 +153,7 @@
 }
 
 fn config(parties: &BTreeMap<&'static str, Party>, peer: SocketAddr) -> Json {
-    let text = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/config.json"));
+    let text = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/config.json"));
     let mut c: Json = serde_json::from_str(&text.expect("the example")).expect("JSON");
     let server = |id: &str, zone: &str, kind: &str, addr: SocketAddr| {
         json!({"id": id, "addr": addr.to_string(), "zone": zone, "kind": kind, "cell": 0, "state": "Ready",
@@ -405,7 +405,7 @@
 fn a_bad_configuration_is_one_line_and_a_failure() {
     let dir = std::env::temp_dir().join(format!("fernslip-{}-bad", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a temporary folder");
-    let good = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/config.json"));
+    let good = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/config.json"));
     let good = good.expect("the example");
     let mut seen = String::new();
     for (name, text) in [
--- a/src/facade.rs
+++ b/crates/fernslip/src/facade.rs
@@ -24,7 +24,7 @@
 //!     fn log(&self, _: &str) {}
 //! }
 //!
-//! let config: serde_json::Value = serde_json::from_str(&std::fs::read_to_string("examples/config.json")?)?;
+//! let config: serde_json::Value = serde_json::from_str(&std::fs::read_to_string("../../examples/config.json")?)?;
 //! let (settings, names) = json::settings(&config["settings"])?;
 //! let dispatcher = Dispatcher::new(settings, 42, Alone)?;
 //! let entry = |name: &str, zone, kind| Entry {
--- a/front/src/call.rs
+++ b/crates/front/src/call.rs
@@ -1,7 +1,6 @@
 //! What a client's call asks for: read, and checked before any of it reaches the module or a cache node.
 
 use crate::msgpack_rpc::Fields;
-use crate::relay::Ask;
 use fernslip::{Class, ObjectId, Request, RequestId};
 use std::fmt;
 
@@ -14,6 +13,23 @@
 const MOST_BODY: usize = 48_000;
 const MOST_TAG: usize = 64;
 
+/// A client's request in the words that are passed on unchanged.
+#[derive(Debug, Default)]
+pub struct Ask {
+    /// The request's id.
+    pub trace: String,
+    /// Its class.
+    pub class: String,
+    /// The object.
+    pub item: String,
+    /// The part of it.
+    pub chunk: String,
+    /// The tag of the copy that the client holds.
+    pub known: Option<String>,
+    /// What a write brings.
+    pub body: Vec<u8>,
+}
+
 /// Why a call can't be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
@@ -120,7 +136,7 @@
     use super::*;
 
     fn classes() -> Vec<Class> {
-        let text = include_str!("../../examples/config.json");
+        let text = include_str!("../../../examples/config.json");
         let config: serde_json::Value = serde_json::from_str(text).expect("the example");
         fernslip::json::settings(&config["settings"]).expect("its settings").0.classes
     }
--- a/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -1,28 +1,12 @@
 //! A request's life: picked, tried as often as the module says, answered.
 
+use crate::call::Ask;
 use crate::clock::Clock;
 use crate::upstream::{Reply, Upstream};
 use fernslip::facade::{Attempt, Decision, Dispatcher, Ended, Host};
 use fernslip::{Ending, Request};
 use std::time::Instant;
 
-/// A client's request in the words that are passed on unchanged.
-#[derive(Debug, Default)]
-pub struct Ask {
-    /// The request's id.
-    pub trace: String,
-    /// Its class.
-    pub class: String,
-    /// The object.
-    pub item: String,
-    /// The part of it.
-    pub chunk: String,
-    /// The tag of the copy that the client holds.
-    pub known: Option<String>,
-    /// What a write brings.
-    pub body: Vec<u8>,
-}
-
 /// The final answer.
 #[derive(Debug)]
 pub enum Answer {
--- a/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -1,8 +1,8 @@
 //! Connections to cache nodes, parents and the origin: few for each, many requests on one.
 
+use crate::call::Ask;
 use crate::link::{lock, Link};
 use crate::log::{Log, Reason};
-use crate::relay::Ask;
 use crate::resp;
 use crate::spawn::spawn;
 use fernslip::facade::{Attempt, Waiter};
