Add the site document: KDL to a checked model and back

Need: fernslip has no configuration form of its own; imported files must land in one. Change: crates/site with zones, classes, members, pools, routes, limits, retries and recovery; every mistake of a file is told in one go with file, line, column and hint; printing and reading again gives the same value.

--- /dev/null
+++ b/crates/site/tests/mistakes.rs
@@ -0,0 +1,70 @@
+//! Documents with mistakes: all of them are told, each where it stands.
+
+use fernslip_site::Site;
+
+#[test]
+fn every_mistake_is_told_in_its_place() {
+    let text = r#"site "x" members-from="disk"
+site "again"
+zon "edge"
+zone "edge" link-in-kb-per-s=-1 fronts=0
+class "docs" aim-ms=900 deadline-ms=500 effect="none"
+class "pages" deadline-ms="soon"
+member "a" address="10.0.0.1" weight=0 zone="edg"
+member "a" address="[::1]:80" state="disabled" colour="red"
+member "b" address="h:99999" { limits connections=0 answer=5; }
+member address="h:1"
+member "c" address="h:1" weight=1 weight=2 "more"
+pool "p" {
+    use "a" instead="a"
+    use "q" instead="b"
+    use "a"
+    recovery first-ms=10 most-ms=5 fail-on="500;503"
+}
+routes order="shortest" {
+    route "docs" pool="p"
+    route "(" match="regex" pool="pp"
+    route "/x"
+    host 5
+}
+routes { }
+"#;
+    insta::assert_snapshot!(Site::parse("site.kdl", text).unwrap_err().to_string());
+}
+
+#[test]
+fn what_is_no_kdl_is_told_in_its_place() {
+    let mut told = String::new();
+    for text in ["member \"a", "pool \"p\" {\n    use \"a\"\n", "a }\n", "member a=#maybe\nmember b=1x\n"] {
+        told += &format!("{}\n", Site::parse("site.kdl", text).unwrap_err());
+    }
+    insta::assert_snapshot!(told);
+}
+
+#[test]
+fn what_is_probably_not_meant_is_a_warning() {
+    let text = r#"
+member "a" address="h:1" state="draining"
+pool "gone" { use "a"; limits wait-ms=5; }
+pool "empty"
+routes {
+    route "/docs" pool="gone"
+    route "/docs/old" exclude=#true
+    route "/docs" match="exact" pool="empty"
+    route "/doc" pool="empty"
+}
+"#;
+    let read = Site::parse("site.kdl", text).expect("allowed");
+    let told: Vec<_> = read.warnings.iter().map(|w| format!("{}:{} {w}", w.line, w.column)).collect();
+    insta::assert_snapshot!(told.join("\n"));
+}
+
+/// Guards the stack: a parser that goes down a level for each brace ended the process.
+#[test]
+fn what_nests_without_end_is_refused() {
+    for open in ["a {", "/* ", "(", "a \"x\" { /*"] {
+        let e = Site::parse("x", &open.repeat(100_000)).unwrap_err();
+        assert!(e.to_string().contains("nested deeper"), "{open}");
+    }
+    assert!(Site::parse("x", &format!("site {:?}", "{".repeat(100))).is_ok(), "braces in a text don't nest");
+}
--- /dev/null
+++ b/crates/site/tests/properties.rs
@@ -0,0 +1,159 @@
+//! Any model that a document can give is printed and read again as it was; any text is read or refused, and never
+//! more than that.
+
+use fernslip_site::*;
+use proptest::prelude::*;
+
+fn some<T: Clone + std::fmt::Debug>(s: impl Strategy<Value = T>) -> impl Strategy<Value = Option<T>> {
+    proptest::option::of(s)
+}
+
+fn one_of<W: Word + std::fmt::Debug>() -> impl Strategy<Value = W> {
+    (0..W::WORDS.len()).prop_map(|i| W::WORDS[i].1)
+}
+
+fn number() -> impl Strategy<Value = f64> {
+    prop_oneof![Just(1.0), Just(0.1), (1e-6..1e6f64), (1u64..1000).prop_map(|n| n as f64)]
+}
+
+fn ms() -> impl Strategy<Value = u64> {
+    0..=86_400_000u64
+}
+
+fn members() -> impl Strategy<Value = Vec<Member>> {
+    let member = (
+        // A name may hold anything but nothing.
+        ("\\PC{1,8}|[\\x00-\\x7f]{1,6}", "[a-z0-9.-]{1,12}", 1u16..),
+        (some(one_of()), some("/\\PC{0,6}"), some(one_of()), some(number()), one_of()),
+        (some(1u64..1 << 24), some(1u64..1 << 24), some(ms()), some(ms()), some(ms())),
+    );
+    let member = member.prop_map(|((id, host, port), (protocol, path, kind, weight, state), l)| Member {
+        id,
+        address: format!("{host}:{port}"),
+        protocol,
+        path,
+        kind,
+        weight,
+        state,
+        zone: Some("z".into()),
+        limits: MemberLimits {
+            connections: l.0,
+            in_flight: l.1,
+            connect_ms: l.2,
+            answer_ms: l.3,
+            idle_ms: l.4,
+        },
+    });
+    proptest::collection::vec(member, 1..6).prop_map(|mut all| {
+        let mut seen = std::collections::HashSet::new();
+        all.retain(|m| seen.insert(m.id.clone()));
+        all
+    })
+}
+
+fn pool(members: Vec<String>) -> impl Strategy<Value = Pool> {
+    let uses = members.into_iter().map(|member| {
+        (some(number()), some(one_of()), some(0..=u64::from(u32::MAX)), some("\\PC{0,5}")).prop_map(
+            move |(weight, state, tier, group)| Use {
+                member: member.clone(),
+                weight,
+                state,
+                tier,
+                group,
+                instead: None,
+            },
+        )
+    });
+    let limits = (some(1u64..1 << 24), some(1u64..1 << 24), some(ms()), some(0u64..1 << 20), some(ms()));
+    let rest = (some(1u64..=1000), some(0.0..10.0f64), some(0u64..100_000), some(1u64..1000), some(ms()));
+    let codes = proptest::collection::vec(100u16..600, 0..4);
+    (uses.collect::<Vec<_>>(), limits, rest, codes).prop_map(|(members, l, r, fail_on)| Pool {
+        name: "p".into(),
+        members,
+        limits: PoolLimits { in_flight: l.0, connections: l.1, wait_ms: l.2, waiting: l.3, answer_ms: l.4 },
+        retry: Retry { attempts: r.0, budget: r.1, burst: r.2 },
+        recovery: Recovery { failures: r.3, first_ms: r.4, most_ms: None, fail_on },
+    })
+}
+
+fn route_set() -> impl Strategy<Value = RouteSet> {
+    let target = prop_oneof![
+        Just(Target::Pool("p".into())),
+        Just(Target::Exclude(None)),
+        Just(Target::Exclude(Some("p".into())))
+    ];
+    let matching = some(prop_oneof![Just(Match::Prefix), Just(Match::Exact), Just(Match::Wildcard)]);
+    let rule = ("/\\PC{0,8}", matching, target, some("\\PC{0,5}"))
+        .prop_map(|(pattern, matching, target, rewrite)| Route { pattern, matching, target, rewrite });
+    (proptest::collection::vec(rule, 0..5), some(one_of()), some(any::<bool>()))
+        .prop_map(|(rules, order, inherit)| RouteSet { hosts: vec!["*.x".into()], order, inherit, rules })
+}
+
+fn site() -> impl Strategy<Value = Site> {
+    (members(), "\\PC{0,9}", some(one_of()), route_set(), some(number())).prop_flat_map(
+        |(members, name, members_from, routes, link)| {
+            let ids = members.iter().map(|m| m.id.clone()).collect();
+            pool(ids).prop_map(move |p| Site {
+                name: name.clone(),
+                members_from,
+                front: Some(Front {
+                    name: "n".into(),
+                    listen: "127.0.0.1:1".into(),
+                    zone: Some("z".into()),
+                    memory_mb: None,
+                    sockets: Some(64),
+                    stream_kb_per_s: link,
+                }),
+                zones: vec![Zone { name: "z".into(), link_in_kb_per_s: link, fronts: Some(2) }],
+                classes: vec![Class {
+                    name: "c".into(),
+                    aim_ms: 5,
+                    aim_stretch: link,
+                    deadline_ms: 9,
+                    worth: None,
+                    late_worth: None,
+                    effect: Some(Effect::AtMostOnce),
+                    write: Some(true),
+                    fresh_ms: None,
+                    grace_ms: Some(0),
+                }],
+                members: members.clone(),
+                pools: vec![p],
+                routes: vec![routes.clone()],
+            })
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(64) })]
+
+    #[test]
+    fn printing_and_reading_gives_the_same(mut site in site()) {
+        if let Some(c) = site.classes[0].aim_stretch.as_mut() { *c = c.min(1000.0); }
+        let text = site.to_kdl();
+        let read = Site::parse("site.kdl", &text).map_err(|e| TestCaseError::fail(format!("{e}\n{text}")))?;
+        prop_assert_eq!(&read.site, &site, "{}", text);
+        let effective = site.effective();
+        let again = Site::parse("e", &effective.to_kdl()).map_err(|e| TestCaseError::fail(e.to_string()))?;
+        prop_assert_eq!(&again.site, &effective, "what is shown can be read");
+        prop_assert_eq!(effective.effective(), effective, "filled in once is filled in");
+    }
+
+    #[test]
+    fn any_text_is_read_or_refused(text in "\\PC{0,200}") {
+        let _ = Site::parse("x", &text);
+    }
+
+    /// Closer to a document than arbitrary text: pieces of one in any order.
+    #[test]
+    fn any_pieces_are_read_or_refused(pieces in proptest::collection::vec(prop_oneof![
+        Just("member"), Just("pool"), Just("use"), Just("routes"), Just("{"), Just("}"), Just("\n"), Just(";"),
+        Just("\"a\""), Just("address="), Just("\"a:1\""), Just("weight="), Just("-1"), Just("1e400"), Just("#inf"),
+        Just("/*"), Just("*/"), Just("/-"), Just("("), Just("#\""), Just("\\"), Just("é"), Just("=")], 0..40)) {
+        if let Err(e) = Site::parse("x", &pieces.join(" ")) {
+            prop_assert!(!e.problems().is_empty(), "an error tells what is wrong");
+            prop_assert!(e.problems().iter().all(|p| p.line > 0 && p.column > 0));
+        }
+    }
+}
