--- a/crates/site/src/check.rs
+++ b/crates/site/src/check.rs
@@ -26,11 +26,11 @@
     fine.then_some((bare, port))
 }
 
-fn unknown<'w, V>(
+fn unknown<V>(
     what: &str,
     name: &str,
     span: SourceSpan,
-    all: &'w HashMap<String, V>,
+    all: &HashMap<String, V>,
     problems: &mut Problems<'_>,
 ) -> bool {
     if all.contains_key(name) {
@@ -133,9 +133,15 @@
             problems.error(*at, format!("`{}`: first-ms is above most-ms", p.name), None);
         }
     }
-    if p.limits.in_flight.is_none() && (p.limits.wait_ms.is_some() || p.limits.waiting.is_some()) {
+    let limits = |u: &Use| members.get(u.member.as_str()).is_some_and(|m| m.limits.is_bounded());
+    let bounded = p.limits.in_flight.is_some() || p.members.iter().any(limits);
+    if !bounded && (p.limits.wait_ms.is_some() || p.limits.waiting.is_some()) {
         let hint = Some("set in-flight, or leave wait-ms and waiting out".to_string());
-        problems.warn(*at, format!("nothing waits in `{}`: it has no in-flight limit", p.name), hint);
+        problems.warn(
+            *at,
+            format!("nothing waits in `{}`: neither it nor its members have limits", p.name),
+            hint,
+        );
     }
 }
 
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -42,6 +42,7 @@
 mod print;
 mod read;
 
+pub use check::{host_port, MOST_REGEX_BYTES};
 pub use error::{Problem, SiteError};
 pub use model::*;
 
