Add pools and routes: tiers, limits, recovery by trials, retry budgets

Need: imported pools have fall-back orders, limits and recovery that the decision module knows nothing of. Change: crates/pool, sans-IO: which members the module may pick from (administrative state, health, tiers, spares, standbys, stand-ins), in-flight limits with a bounded wait, trials one at a time with back-off, a retry budget a pool; routes in Apache's and mod_jk's orders with exclusions and hosts.

--- /dev/null
+++ b/crates/pool/src/lib.rs
@@ -0,0 +1,57 @@
+//! What stands between a request and the decision module: which pool it belongs to, whether the pool has room, and
+//! which of its machines the module may pick from.
+//!
+//! [`Routes`] sends a host and a path to a pool, in the order of Apache or of mod_jk. [`Pool`] is one pool's state: it
+//! takes an [`Event`] and the time and returns [`Action`]s. There are no sockets, threads or clocks in here; equal
+//! inputs give equal outputs.
+//!
+//! # The contract
+//!
+//! - Times are milliseconds on the caller's one clock, which never runs back.
+//! - A request [`Event::Arrived`]s, is [`Action::Admit`]ted or [`Action::Turn`]ed away by exactly one action (unless it
+//!   left first), and if it was admitted it [`Event::Left`] in the end.
+//! - Each attempt of an admitted request is one [`Event::Sent`] and one [`Event::Ended`]. The caller sends only to
+//!   machines whose last [`Machine::phase`] is [`Phase::In`], and tells of each send before it takes the next step:
+//!   then limits hold exactly, and a machine in recovery gets one trial at a time.
+//! - Before a further attempt [`Event::Again`] asks; [`Action::Again`] or [`Action::Enough`] answers.
+//! - A machine whose administrative state is draining or stopped is never handed out as [`Phase::In`], from the very
+//!   event on that brings the state: not by recovery, not in place of another, not by a trial.
+//! - [`Pool::wake_at`] tells when the next [`Event::Tick`] is due; one that comes early does no harm.
+//!
+//! ```
+//! use fernslip_pool::{Action, End, Event, Phase, Pool, Spec};
+//! use fernslip_site::Site;
+//!
+//! let text = r#"
+//! member "a" address="127.0.0.1:1"
+//! member "b" address="127.0.0.1:2" state="draining"
+//! pool "docs" { use "a"; use "b"; limits in-flight=1 wait-ms=50; }
+//! "#;
+//! let site = Site::parse("site.kdl", text)?.site;
+//! let mut pool = Pool::new(Spec::of(&site, &site.pools[0]), 7);
+//! let mut actions = Vec::new();
+//! pool.handle(0.0, Event::Tick, &mut actions);
+//! let Action::Machines(machines) = &actions[0] else { panic!() };
+//! assert_eq!(machines.iter().map(|m| m.phase).collect::<Vec<_>>(), [Phase::In, Phase::Draining]);
+//!
+//! actions.clear();
+//! pool.handle(1.0, Event::Arrived { request: 1, wait_until: 1000.0 }, &mut actions);
+//! pool.handle(1.0, Event::Arrived { request: 2, wait_until: 1000.0 }, &mut actions);
+//! assert_eq!(actions, [Action::Admit { request: 1 }]); // the second waits for a place
+//! actions.clear();
+//! pool.handle(20.0, Event::Left { request: 1 }, &mut actions);
+//! assert_eq!(actions, [Action::Admit { request: 2 }]);
+//! # Ok::<(), fernslip_site::SiteError>(())
+//! ```
+
+mod health;
+mod pool;
+mod queue;
+mod route;
+mod select;
+mod spec;
+
+pub use health::End;
+pub use pool::{Action, Counts, Event, Machine, Phase, Pool, Told, Why};
+pub use route::{Routed, Routes};
+pub use spec::{Part, Spec};
--- /dev/null
+++ b/crates/pool/src/pool.rs
@@ -0,0 +1,540 @@
+//! One pool: events and the time in, actions out.
+
+use crate::health::{End, Health};
+use crate::queue::Queue;
+use crate::select::{select, Shown};
+use crate::spec::Spec;
+use fernslip_site::State;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// Of a member's limit: a full member is handed out again when so much is free, so that it does not come and go with
+/// each request.
+const FREE_PART: f64 = 0.1;
+/// A trial waits up to this much longer than told, by member and front.
+const SPREAD: f64 = 0.25;
+
+/// A member's phase for the decision module.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// May be picked.
+    In,
+    /// Nothing new, be it by the operators' word, by what traffic shows, or because it is full.
+    Draining,
+    /// Out of service.
+    Out,
+}
+
+/// What the list of machines says of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// It runs.
+    Up,
+    /// It drains.
+    Draining,
+    /// It is gone, or was never listed.
+    Gone,
+}
+
+/// A member for the decision module.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Machine {
+    /// Its id.
+    pub id: Arc<str>,
+    /// Its phase.
+    pub phase: Phase,
+    /// Its share.
+    pub weight: f64,
+    /// When it last started; 0: long ago.
+    pub born_ms: f64,
+}
+
+/// Why a request is turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// As many wait already as may.
+    Crowded,
+    /// It waited as long as it may.
+    Waited,
+}
+
+/// What happens.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The pool is described anew.
+    Spec(Spec),
+    /// The list of machines says so of a member; it started then (0: long ago).
+    Told {
+        /// The member.
+        id: Arc<str>,
+        /// What.
+        told: Told,
+        /// When it last started.
+        born_ms: f64,
+    },
+    /// A request comes; it may not wait beyond that time, whatever the pool allows.
+    Arrived {
+        /// Its number, unique among those in the pool.
+        request: u64,
+        /// On the caller's clock.
+        wait_until: f64,
+    },
+    /// A request is over, or its client left.
+    Left {
+        /// Its number.
+        request: u64,
+    },
+    /// An attempt goes out.
+    Sent {
+        /// The request.
+        request: u64,
+        /// The member.
+        id: Arc<str>,
+    },
+    /// An attempt ended.
+    Ended {
+        /// The request.
+        request: u64,
+        /// The member.
+        id: Arc<str>,
+        /// How.
+        end: End,
+    },
+    /// A request wants a further attempt.
+    Again {
+        /// Its number.
+        request: u64,
+    },
+    /// Time went by.
+    Tick,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// These members have changed for the decision module.
+    Machines(Vec<Machine>),
+    /// The request goes to the decision module.
+    Admit {
+        /// Its number.
+        request: u64,
+    },
+    /// The request is refused.
+    Turn {
+        /// Its number.
+        request: u64,
+        /// Why.
+        why: Why,
+    },
+    /// The request may have a further attempt.
+    Again {
+        /// Its number.
+        request: u64,
+    },
+    /// It may not.
+    Enough {
+        /// Its number.
+        request: u64,
+    },
+}
+
+/// What a pool has done, for the operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests let through.
+    pub admitted: u64,
+    /// Requests that waited first.
+    pub waited: u64,
+    /// Requests turned away since too many waited.
+    pub crowded: u64,
+    /// Requests turned away since they waited too long.
+    pub overdue: u64,
+    /// Further attempts allowed.
+    pub retries: u64,
+    /// Further attempts not allowed.
+    pub no_retries: u64,
+    /// Members that failed.
+    pub failures: u64,
+    /// Members that came back.
+    pub recoveries: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    health: Health,
+    told: Told,
+    born: f64,
+    in_flight: u64,
+    /// At its limit, and not free enough since.
+    full: bool,
+    given: Option<Machine>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Inside {
+    attempts: u64,
+}
+
+/// One pool's state.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    spec: Spec,
+    seed: u64,
+    /// What holds of a member that nothing was told of.
+    untold: Told,
+    now: f64,
+    by_id: HashMap<Arc<str>, usize>,
+    /// As `spec.parts`.
+    members: Vec<Member>,
+    /// Those that left the pool and have attempts out: their ends are still to come.
+    gone: HashMap<Arc<str>, u64>,
+    inside: HashMap<u64, Inside>,
+    queue: Queue,
+    retries: f64,
+    /// Trials to come, by their times in microseconds.
+    due: BTreeSet<(u64, usize)>,
+    /// Members handed out, and those of them that are full.
+    open: usize,
+    counts: Counts,
+    started: bool,
+    dirty: bool,
+}
+
+fn micros(ms: f64) -> u64 {
+    (ms.max(0.0) * 1000.0) as u64
+}
+
+impl Pool {
+    /// A pool whose members all run, as far as is known. `seed` differs from front to front and spreads their
+    /// trials. The first event hands out all members.
+    pub fn new(spec: Spec, seed: u64) -> Pool {
+        Pool::with(spec, seed, Told::Up)
+    }
+
+    /// A pool whose members run when [`Event::Told`] says so, and not before.
+    pub fn listed(spec: Spec, seed: u64) -> Pool {
+        Pool::with(spec, seed, Told::Gone)
+    }
+
+    fn with(spec: Spec, seed: u64, untold: Told) -> Pool {
+        let retries = spec.retry_burst;
+        let mut pool = Pool {
+            spec: Spec { parts: Vec::new(), ..spec.clone() },
+            seed,
+            untold,
+            now: 0.0,
+            by_id: HashMap::new(),
+            members: Vec::new(),
+            gone: HashMap::new(),
+            inside: HashMap::new(),
+            queue: Queue::default(),
+            retries,
+            due: BTreeSet::new(),
+            open: 0,
+            counts: Counts::default(),
+            started: false,
+            dirty: true,
+        };
+        pool.describe(spec, &mut Vec::new());
+        pool
+    }
+
+    /// Its description.
+    pub fn spec(&self) -> &Spec {
+        &self.spec
+    }
+
+    /// What it has done.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Requests in it, and requests that wait.
+    pub fn held(&self) -> (usize, usize) {
+        (self.inside.len(), self.queue.len())
+    }
+
+    /// When the next [`Event::Tick`] is due, on the caller's clock.
+    pub fn wake_at(&self) -> Option<f64> {
+        let trial = self.due.first().map(|(at, _)| *at as f64 / 1000.0 + 0.001);
+        [trial, self.queue.due()].into_iter().flatten().reduce(f64::min)
+    }
+
+    /// Takes one event at the time `now_ms` and adds what is to be done to `actions`.
+    pub fn handle(&mut self, now_ms: f64, event: Event, actions: &mut Vec<Action>) {
+        if now_ms.is_finite() {
+            self.now = self.now.max(now_ms);
+        }
+        self.started = true;
+        self.trials();
+        match event {
+            Event::Spec(spec) => self.describe(spec, actions),
+            Event::Told { id, told, born_ms } => self.told(&id, told, born_ms),
+            Event::Arrived { request, wait_until } => {
+                self.publish(actions);
+                self.arrived(request, wait_until, actions);
+            }
+            Event::Left { request } => self.left(request),
+            Event::Sent { request, id } => self.sent(request, &id),
+            Event::Ended { request, id, end } => self.ended(request, &id, end),
+            Event::Again { request } => self.again(request, actions),
+            Event::Tick => {}
+        }
+        self.publish(actions);
+        self.let_in(actions);
+    }
+
+    // ---- members ----
+
+    /// Takes a description up by its difference: who stays keeps what traffic showed of it.
+    fn describe(&mut self, spec: Spec, actions: &mut Vec<Action>) {
+        let old_parts = std::mem::take(&mut self.spec.parts);
+        let mut old: HashMap<Arc<str>, (State, Member)> = old_parts
+            .into_iter()
+            .zip(std::mem::take(&mut self.members))
+            .map(|(p, m)| (p.id, (p.state, m)))
+            .collect();
+        for part in &spec.parts {
+            let back = self.gone.remove(&part.id);
+            let member = match old.remove(&part.id) {
+                Some((state, mut m)) => {
+                    // Out of service it may have been restarted: it counts as just started. The other way round
+                    // would let all fronts at a cold machine at once.
+                    if state == State::Stopped && part.state != State::Stopped {
+                        m.born = self.now;
+                        m.health = Health::UP;
+                    }
+                    m
+                }
+                None => Member {
+                    health: Health::UP,
+                    told: self.untold,
+                    // One that joins a pool in service may have been started for it; a list would tell.
+                    born: if self.started && self.untold == Told::Up { self.now } else { 0.0 },
+                    in_flight: back.unwrap_or(0),
+                    full: false,
+                    given: None,
+                },
+            };
+            self.members.push(member);
+        }
+        let mut gone = Vec::new();
+        for (id, (_, m)) in old {
+            if m.in_flight > 0 {
+                self.gone.insert(id.clone(), m.in_flight);
+            }
+            if let Some(given) = m.given.filter(|g| g.phase != Phase::Out) {
+                gone.push(Machine { phase: Phase::Out, ..given });
+            }
+        }
+        if !gone.is_empty() {
+            gone.sort_by(|a, b| a.id.cmp(&b.id));
+            actions.push(Action::Machines(gone));
+        }
+        self.by_id = spec.parts.iter().enumerate().map(|(i, p)| (p.id.clone(), i)).collect();
+        self.retries = self.retries.min(spec.retry_burst);
+        self.spec = spec;
+        self.due =
+            self.members.iter().enumerate().filter_map(|(i, m)| Some((micros(m.health.due()?), i))).collect();
+        for i in 0..self.members.len() {
+            self.fill(i);
+        }
+        self.dirty = true;
+    }
+
+    fn told(&mut self, id: &str, told: Told, born_ms: f64) {
+        let Some(&i) = self.by_id.get(id) else { return };
+        let m = &mut self.members[i];
+        if told == Told::Up && (born_ms > m.born || m.told == Told::Gone) {
+            m.born = m.born.max(born_ms);
+            m.health = Health::UP;
+            self.due.retain(|d| d.1 != i);
+        }
+        self.members[i].told = told;
+        self.dirty = true;
+    }
+
+    /// Failed members whose wait is over may be tried.
+    fn trials(&mut self) {
+        while let Some(&(at, i)) = self.due.first().filter(|d| d.0 <= micros(self.now)) {
+            self.due.remove(&(at, i));
+            self.members[i].health.tick(self.now.max(at as f64 / 1000.0 + 0.001));
+            self.dirty = true;
+        }
+    }
+
+    /// Whether a member is at its limit, with the step back that keeps it from coming and going.
+    fn fill(&mut self, i: usize) {
+        let limit = self.spec.parts[i].in_flight;
+        let m = &mut self.members[i];
+        let was = m.full;
+        m.full = match limit {
+            None => false,
+            Some(limit) if m.in_flight >= limit => true,
+            Some(limit) => {
+                let free = limit - m.in_flight;
+                was && (free as f64) < (limit as f64 * FREE_PART).max(1.0)
+            }
+        };
+        self.dirty |= m.full != was;
+    }
+
+    fn sent(&mut self, request: u64, id: &str) {
+        let Some(&i) = self.by_id.get(id) else {
+            // It left the pool between the choice and the send.
+            *self.gone.entry(id.into()).or_default() += 1;
+            return;
+        };
+        let m = &mut self.members[i];
+        m.in_flight += 1;
+        let before = m.health;
+        m.health.sent(request);
+        self.dirty |= m.health != before;
+        self.fill(i);
+        if let Some(inside) = self.inside.get_mut(&request) {
+            inside.attempts += 1;
+        }
+    }
+
+    fn ended(&mut self, request: u64, id: &str, end: End) {
+        let Some(&i) = self.by_id.get(id) else {
+            if let Some(n) = self.gone.get_mut(id) {
+                *n -= 1;
+                if *n == 0 {
+                    self.gone.remove(id);
+                }
+            }
+            return;
+        };
+        let spread = self.spread(id);
+        let m = &mut self.members[i];
+        m.in_flight = m.in_flight.saturating_sub(1);
+        let before = m.health;
+        let back = m.health.ended(self.now, request, end, &self.spec, spread);
+        if back == Some(true) {
+            // No process was there: the one that answers now has just started.
+            m.born = self.now;
+        }
+        self.counts.recoveries += u64::from(back.is_some());
+        if m.health != before {
+            self.counts.failures += u64::from(before.is_up() && !m.health.is_up());
+            if let Some(due) = m.health.due() {
+                self.due.insert((micros(due), i));
+            }
+            self.dirty = true;
+        }
+        self.fill(i);
+    }
+
+    /// By member and front, from 1 to 1 + [`SPREAD`].
+    fn spread(&self, id: &str) -> f64 {
+        // FNV-1a: any spread will do, but it must not change from run to run.
+        let hash = id
+            .bytes()
+            .chain(self.seed.to_le_bytes())
+            .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+        1.0 + SPREAD * (hash >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Hands out what has changed.
+    fn publish(&mut self, actions: &mut Vec<Action>) {
+        if !std::mem::take(&mut self.dirty) {
+            return;
+        }
+        let shown: Vec<Shown> = self
+            .members
+            .iter()
+            .map(|m| Shown {
+                listed: m.told == Told::Up,
+                up: m.health.is_up(),
+                trial: !m.health.is_up() && m.health.may_be_sent(),
+            })
+            .collect();
+        let chosen = select(&self.spec.parts, &shown);
+        let mut changed = Vec::new();
+        self.open = 0;
+        for ((part, m), chosen) in self.spec.parts.iter().zip(&mut self.members).zip(chosen) {
+            let phase = match (part.state, m.told) {
+                (State::Stopped, _) | (_, Told::Gone) => Phase::Out,
+                _ if chosen && !m.full => Phase::In,
+                _ => Phase::Draining,
+            };
+            self.open += usize::from(phase == Phase::In);
+            let machine = Machine { id: part.id.clone(), phase, weight: part.weight, born_ms: m.born };
+            if m.given.as_ref() != Some(&machine) {
+                changed.push(machine.clone());
+                m.given = Some(machine);
+            }
+        }
+        if !changed.is_empty() {
+            actions.push(Action::Machines(changed));
+        }
+    }
+
+    // ---- requests ----
+
+    /// Whether one more may go to the decision module. Where no member can be used at all it may: what to turn away
+    /// then is the module's to say, at once.
+    fn has_room(&self) -> bool {
+        let places = self.spec.in_flight.is_none_or(|n| (self.inside.len() as u64) < n);
+        let waits_for_full = self.open == 0 && self.members.iter().any(|m| m.full && m.told == Told::Up);
+        places && !waits_for_full
+    }
+
+    fn arrived(&mut self, request: u64, wait_until: f64, actions: &mut Vec<Action>) {
+        if self.inside.contains_key(&request) || self.queue.contains(request) {
+            // The caller's numbers are unique; one that is not can't be told from the other.
+            return actions.push(Action::Turn { request, why: Why::Crowded });
+        }
+        self.retries = (self.retries + self.spec.retry_budget).min(self.spec.retry_burst);
+        if self.queue.len() == 0 && self.has_room() {
+            return self.admit(request, actions);
+        }
+        let until = (self.now + self.spec.wait_ms).min(wait_until);
+        if self.queue.len() >= self.spec.waiting || until <= self.now {
+            self.counts.crowded += 1;
+            return actions.push(Action::Turn { request, why: Why::Crowded });
+        }
+        self.counts.waited += 1;
+        self.queue.push(request, until);
+    }
+
+    fn admit(&mut self, request: u64, actions: &mut Vec<Action>) {
+        self.inside.insert(request, Inside::default());
+        self.counts.admitted += 1;
+        actions.push(Action::Admit { request });
+    }
+
+    fn left(&mut self, request: u64) {
+        if !self.queue.remove(request) {
+            self.inside.remove(&request);
+        }
+    }
+
+    /// Turns away who waited too long, and lets in who came first while there is room.
+    fn let_in(&mut self, actions: &mut Vec<Action>) {
+        while let Some(request) = self.queue.expired(self.now) {
+            self.counts.overdue += 1;
+            actions.push(Action::Turn { request, why: Why::Waited });
+        }
+        // One at a time where members are nearly full: who is let in tells of its send before the next event.
+        while self.queue.len() > 0 && self.has_room() {
+            let Some(request) = self.queue.pop() else { return };
+            self.admit(request, actions);
+            if self.spec.in_flight.is_none() {
+                return;
+            }
+        }
+    }
+
+    fn again(&mut self, request: u64, actions: &mut Vec<Action>) {
+        let attempts = self.inside.get(&request).map_or(u64::MAX, |i| i.attempts);
+        if attempts >= self.spec.attempts || self.retries < 1.0 {
+            self.counts.no_retries += 1;
+            return actions.push(Action::Enough { request });
+        }
+        self.retries -= 1.0;
+        self.counts.retries += 1;
+        actions.push(Action::Again { request });
+    }
+}
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -107,7 +107,7 @@
         Draining = "draining",
         /// Out of service.
         Stopped = "stopped",
-        /// In service only while no other member of its pool can be used.
+        /// In service only while neither a ready member nor a spare of its tier can be used.
         Standby = "standby",
         /// Takes the place of one member of its tier that can't be used.
         Spare = "spare",
