--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,132 @@
+//! What can be said on the command line.
+
+use clap::{Args as ClapArgs, Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
+use std::path::PathBuf;
+
+/// A front for a network of object caches, and the tools around its configuration.
+#[derive(Debug, Parser)]
+#[command(name = "fernslip", version, about)]
+pub struct Args {
+    /// Form of the log's lines.
+    #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
+    pub log_format: LogFormat,
+    /// Least level that is logged.
+    #[arg(long, global = true, value_enum, default_value_t = LogLevel::Info)]
+    pub log_level: LogLevel,
+    /// What to do; without one: run.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum LogLevel {
+    Error,
+    Warn,
+    Info,
+    Debug,
+    Trace,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Serve as a front until SIGTERM; SIGHUP reads the files again.
+    Run(Run),
+    /// Read site documents and tell every mistake in them.
+    Check {
+        /// The documents.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+    /// Show a site document as it takes effect, with every default filled in.
+    Show {
+        /// The document.
+        file: PathBuf,
+        /// As which.
+        #[arg(long, value_enum, default_value_t = ShowFormat::Kdl)]
+        format: ShowFormat,
+    },
+    /// Make a site document of another program's files, with a report of every directive.
+    Import {
+        #[command(subcommand)]
+        from: Import,
+    },
+    /// Write a shell's completions to standard output.
+    Completions {
+        /// For which shell.
+        shell: Shell,
+    },
+}
+
+#[derive(Debug, Default, ClapArgs)]
+pub struct Run {
+    /// The platform's configuration, JSON; without it what RELAY_CONFIG names.
+    #[arg(long, value_name = "FILE")]
+    pub config: Option<PathBuf>,
+    /// The site document.
+    #[arg(long, value_name = "FILE")]
+    pub site: Option<PathBuf>,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum ShowFormat {
+    Kdl,
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Import {
+    /// Files of Apache httpd: mod_proxy, its balancers, and mod_jk's directives.
+    Httpd {
+        /// Read one after the other as if they were one.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+        #[command(flatten)]
+        out: Out,
+    },
+    /// Files of mod_jk: workers and mounts.
+    Modjk {
+        /// workers.properties.
+        #[arg(long, required = true, value_name = "FILE")]
+        workers: Vec<PathBuf>,
+        /// uriworkermap.properties.
+        #[arg(long, value_name = "FILE")]
+        mounts: Vec<PathBuf>,
+        /// httpd's files that hold JkMount and its kin.
+        #[arg(long, value_name = "FILE")]
+        httpd: Vec<PathBuf>,
+        #[command(flatten)]
+        out: Out,
+    },
+}
+
+#[derive(Debug, ClapArgs)]
+pub struct Out {
+    /// Where the site document goes; without it to standard output.
+    #[arg(short, long, value_name = "SITE.kdl")]
+    pub output: Option<PathBuf>,
+    /// Where the report goes, as JSON.
+    #[arg(long, value_name = "REPORT.json")]
+    pub report: Option<PathBuf>,
+    /// Exit with 3 if anything was left out.
+    #[arg(long)]
+    pub strict: bool,
+    /// The site's name.
+    #[arg(long, default_value = "imported")]
+    pub name: String,
+    /// Where relative names in httpd's files begin.
+    #[arg(long, value_name = "FOLDER")]
+    pub root: Option<PathBuf>,
+    /// A variable as `Define` sets it.
+    #[arg(short = 'D', long = "define", value_name = "NAME[=VALUE]")]
+    pub defines: Vec<String>,
+    /// No table on standard error.
+    #[arg(short, long)]
+    pub quiet: bool,
+}
--- a/crates/fernslip/src/facade.rs
+++ b/crates/fernslip/src/facade.rs
@@ -248,6 +248,29 @@
         self.decided(id)
     }
 
+    /// An attempt that [`Decision::Try`] asked for is not made, and no other is wanted: the front itself ends its
+    /// request, for a limit of its own. Nothing is owed for it here any more.
+    pub fn stop(&self, now_ms: f64, attempt: &Attempt) {
+        let Attempt { id, number, cache, .. } = attempt;
+        {
+            let mut inner = self.lock();
+            if inner.open.remove(id).is_none() {
+                return;
+            }
+        }
+        let outcome = Outcome {
+            id: *id,
+            attempt: *number,
+            cache: cache.clone(),
+            ending: Ending::Superseded,
+            elapsed_ms: 0.0,
+            over: true,
+            detail: 0,
+            fill_wait_ms: 0.0,
+        };
+        self.feed(now_ms, Event::Outcome(outcome));
+    }
+
     /// The client of a request left: nothing is owed for it.
     pub fn gone(&self, now_ms: f64, id: RequestId) {
         let waiter = match self.lock().open.get_mut(&id) {
--- a/crates/front/src/bus.rs
+++ b/crates/front/src/bus.rs
@@ -5,7 +5,7 @@
 use crate::log::Reason;
 use crate::Shared;
 use fernslip::json::{self, JsonError, Names};
-use fernslip::{CacheId, Entry, ListKind, ObjectId, Phase};
+use fernslip::{CacheId, Entry, ObjectId, Phase};
 use may::net::TcpStream;
 use serde_json::Value;
 use std::io::ErrorKind;
@@ -84,13 +84,17 @@
 
 /// Hands an event to the module and to the connections.
 pub fn apply(front: &Shared, event: Event) {
-    let (clock, dispatcher) = (&front.clock, &front.dispatcher);
+    let clock = &front.clock;
     match event {
         Event::Other => {}
         Event::Purge { object, group, unix_ms } => {
             let now = clock.now();
-            dispatcher.purged(now, object, group, now - clock.from_unix(unix_ms));
+            for lane in front.lanes.all() {
+                lane.dispatcher.purged(now, object, group, now - clock.from_unix(unix_ms));
+            }
         }
+        // The site document has the members.
+        Event::List { .. } if front.lanes.from_file() => {}
         Event::List { full, servers } => {
             let mut entries = Vec::new();
             for (mut e, addr) in servers {
@@ -98,7 +102,7 @@
                 match (e.phase, addr) {
                     (Phase::Out, _) => front.upstream.drop_node(&e.cache),
                     (_, Some(addr)) => front.upstream.know(e.cache.clone(), addr, e.born_ms),
-                    (_, None) => front.log.line(format!("bus: {} has no address", e.cache.0)),
+                    (_, None) => tracing::warn!("bus: {} has no address", e.cache.0),
                 }
                 entries.push(e);
             }
@@ -106,7 +110,7 @@
                 let ids: Vec<CacheId> = entries.iter().map(|e| e.cache.clone()).collect();
                 front.upstream.keep_only(&ids);
             }
-            dispatcher.list(clock.now(), if full { ListKind::Full } else { ListKind::Delta }, entries);
+            front.lanes.list(clock, full, entries);
             if full {
                 front.listed.store(true, std::sync::atomic::Ordering::Release);
             }
@@ -133,9 +137,9 @@
     match event(&v, &front.names) {
         Ok(e) => {
             apply(front, e);
-            front.log.line(format!("bus offset={number}"));
+            tracing::info!("bus offset={number}");
         }
-        Err(e) => front.log.line(format!("bus: event {number}: {e}")),
+        Err(e) => tracing::warn!("bus: event {number}: {e}"),
     }
     Ok(())
 }
@@ -167,8 +171,9 @@
 }
 
 impl Bus {
-    /// A bus at that address.
-    pub fn new(addr: SocketAddr) -> Bus {
+    /// A bus at that address; `None`: there is none to follow.
+    pub fn new(addr: Option<SocketAddr>) -> Bus {
+        let addr = addr.unwrap_or(([0, 0, 0, 0], 0).into());
         Bus { state: Mutex::new(State { addr, link: Arc::default(), heard: None }) }
     }
 
@@ -220,7 +225,7 @@
         loop {
             let addr = lock(&self.state).addr;
             let why = self.follow(front, addr, &mut offset);
-            front.log.line(format!("end kind=bus addr={addr} reason={} offset={offset}", why.code()));
+            tracing::info!(kind = %"bus", %addr, reason = %why.code(), offset, "end");
             if why != Reason::Moved {
                 may::coroutine::sleep(RETRY);
             }
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -3,6 +3,7 @@
 use crate::budget::Budget;
 use fernslip::json::{self, JsonError, Names};
 use fernslip::{Settings, SettingsError};
+use fernslip_site::SiteError;
 use serde_json::Value;
 use std::fmt;
 use std::net::SocketAddr;
@@ -27,8 +28,8 @@
     pub peers: Vec<SocketAddr>,
     /// Reaches all of them.
     pub peers_all: Option<SocketAddr>,
-    /// The event bus.
-    pub bus: SocketAddr,
+    /// The event bus; `None`: there is none, and the site document has the members.
+    pub bus: Option<SocketAddr>,
     /// The last event known.
     pub offset: u64,
     /// The events up to it.
@@ -60,6 +61,10 @@
     Settings(SettingsError),
     /// `RELAY_CONFIG` is not set.
     NoFile,
+    /// The site document has mistakes.
+    Site(SiteError),
+    /// The site document is fine and can't be served from.
+    Plan(Vec<String>),
 }
 
 impl fmt::Display for ConfigError {
@@ -71,6 +76,8 @@
             ConfigError::Address(key) => write!(f, "configuration: {key} is no address"),
             ConfigError::Settings(e) => write!(f, "configuration: {e}"),
             ConfigError::NoFile => f.write_str("configuration: RELAY_CONFIG names no file"),
+            ConfigError::Site(e) => write!(f, "{e}"),
+            ConfigError::Plan(all) => write!(f, "site: {}", all.join("\nsite: ")),
         }
     }
 }
@@ -92,12 +99,6 @@
 }
 
 impl Config {
-    /// From the file that the environment names.
-    pub fn from_env() -> Result<Config, ConfigError> {
-        let file = std::env::var_os("RELAY_CONFIG").ok_or(ConfigError::NoFile)?;
-        Config::read(Path::new(&file))
-    }
-
     /// From a file.
     pub fn read(file: &Path) -> Result<Config, ConfigError> {
         let text = std::fs::read_to_string(file).map_err(ConfigError::Read)?;
@@ -131,7 +132,7 @@
             peer_listen: optional("peer_listen")?,
             peers,
             peers_all: optional("peers_all")?,
-            bus: address(&v["bus"], "bus")?,
+            bus: Some(address(&v["bus"], "bus")?),
             offset: json::num(&v["known"], "offset")? as u64,
             batch: json::list(&v["known"], "batch")?.to_vec(),
             streams: (json::num(per, "streams_per_conn")? as usize).max(1),
--- /dev/null
+++ b/crates/front/src/lanes.rs
@@ -0,0 +1,541 @@
+//! A lane for each pool: the pool before the decision module, the module, and the one list that passes between them.
+//! A front without a site document has a single lane without a pool.
+
+use crate::clock::Clock;
+use crate::link::lock;
+use crate::plan::{Known, Plan};
+use crate::upstream::Upstream;
+use crate::Ways;
+use arc_swap::ArcSwap;
+use fernslip::facade::{Attempt, Dispatcher};
+use fernslip::{CacheId, Ending, Entry, ListKind, RequestId, Settings, SettingsError};
+use fernslip_pool::{Action, End, Event, Machine, Phase, Pool, Routed, Routes, Spec, Told};
+use fernslip_site::State;
+use may::sync::Blocker;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// When a request that a pool has no room for may come back, in milliseconds, where clients heed it: as the module's
+/// own hints.
+const PAUSE_MS: f64 = 400.0;
+/// A waiting request looks again after so long, should a wake be lost.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Where a request waits for a place.
+struct Seat {
+    blocker: Arc<Blocker>,
+    admitted: Mutex<Option<bool>>,
+}
+
+/// A pool and what the module was told of it.
+struct Held {
+    pool: Pool,
+    /// What was handed out last, by id.
+    machines: BTreeMap<Arc<str>, Machine>,
+    /// The mean of the pool's weights: weights are relative, the module's are links.
+    mean: f64,
+    seats: HashMap<u64, Arc<Seat>>,
+}
+
+/// One pool's way through the front.
+pub struct Lane {
+    /// The pool's name; empty: there are no pools.
+    pub name: String,
+    /// The decisions.
+    pub dispatcher: Dispatcher<Ways>,
+    held: Option<Mutex<Held>>,
+}
+
+/// A request's place in a pool; it ends with this.
+pub struct Place {
+    lane: Arc<Lane>,
+    number: u64,
+    clock: Clock,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.lane.feed(&self.clock, Event::Left { request: self.number });
+    }
+}
+
+/// What the module is told of an attempt's end, as the pool sees it. A machine that is crowded, slow or in error is
+/// the module's to judge, which compares it with its fellows; a pool acts on connections alone.
+fn end(ending: Ending) -> End {
+    match ending {
+        Ending::Completed | Ending::LookupMiss => End::Good,
+        Ending::RefusedConn => End::Refused,
+        Ending::Severed => End::Failed,
+        _ => End::Neither,
+    }
+}
+
+impl Place {
+    /// An attempt goes out.
+    pub fn sent(&self, attempt: &Attempt) {
+        let id = attempt.cache.0.clone();
+        self.lane.feed(&self.clock, Event::Sent { request: self.number, id });
+    }
+
+    /// It ended.
+    pub fn ended(&self, attempt: &Attempt, ending: Ending) {
+        let id = attempt.cache.0.clone();
+        self.lane.feed(&self.clock, Event::Ended { request: self.number, id, end: end(ending) });
+    }
+
+    /// Whether a further attempt may be made; if so, it is counted.
+    pub fn again(&self) -> bool {
+        let left = self.lane.feed(&self.clock, Event::Again { request: self.number });
+        self.lane.held.is_none() || left.iter().any(|a| matches!(a, Action::Again { .. }))
+    }
+}
+
+impl Lane {
+    /// Feeds the pool and carries out what it says; what is the caller's to see comes back.
+    fn feed(&self, clock: &Clock, event: Event) -> Vec<Action> {
+        let Some(held) = &self.held else { return Vec::new() };
+        // Held until the module has the list, so that two changes reach it in their order; nothing here yields.
+        let mut held = lock(held);
+        let held = &mut *held;
+        let mut actions = Vec::new();
+        held.pool.handle(clock.now(), event, &mut actions);
+        actions.retain(|a| match a {
+            Action::Machines(changed) => {
+                self.hand_out(clock, held, changed);
+                false
+            }
+            Action::Admit { request } | Action::Turn { request, .. } => {
+                if let Some(seat) = held.seats.remove(request) {
+                    *lock(&seat.admitted) = Some(matches!(a, Action::Admit { .. }));
+                    seat.blocker.unpark();
+                }
+                false
+            }
+            Action::Again { .. } | Action::Enough { .. } => true,
+        });
+        actions
+    }
+
+    fn hand_out(&self, clock: &Clock, held: &mut Held, changed: &[Machine]) {
+        let entries = changed.iter().map(|m| self.dispatcher.host().entry(m, held.mean)).collect();
+        self.dispatcher.list(clock.now(), ListKind::Delta, entries);
+        for m in changed {
+            held.machines.insert(m.id.clone(), m.clone());
+        }
+        held.machines.retain(|_, m| m.phase != Phase::Out);
+    }
+
+    /// Takes a new description up.
+    fn describe(&self, clock: &Clock, spec: Spec) {
+        let Some(held) = &self.held else { return };
+        let mean = mean(&spec);
+        let again = {
+            let mut held = lock(held);
+            let changed = held.mean != mean;
+            held.mean = mean;
+            changed
+        };
+        self.feed(clock, Event::Spec(spec));
+        if again {
+            // All shares are others now, also those of members that did not change.
+            let mut held = lock(held);
+            let all: Vec<Machine> = held.machines.values().cloned().collect();
+            self.hand_out(clock, &mut held, &all);
+        }
+    }
+
+    /// Takes a place in the pool, waiting for one if the pool lets it wait; `None`: it is turned away.
+    pub fn enter(self: &Arc<Lane>, clock: &Clock, wait_until: f64) -> Option<Place> {
+        static NUMBERS: AtomicU64 = AtomicU64::new(0);
+        let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
+        let place = Place { lane: self.clone(), number, clock: *clock };
+        let Some(held) = &self.held else { return Some(place) };
+        let seat = Arc::new(Seat { blocker: Blocker::current(), admitted: Mutex::default() });
+        lock(held).seats.insert(number, seat.clone());
+        self.feed(clock, Event::Arrived { request: number, wait_until });
+        loop {
+            let admitted = *lock(&seat.admitted);
+            if let Some(admitted) = admitted {
+                return admitted.then_some(place);
+            }
+            let _ = seat.blocker.park(Some(LOOK));
+        }
+    }
+
+    /// Runs what is due; when the next is, if any.
+    pub fn tick(&self, clock: &Clock) -> Option<f64> {
+        let pool = self.held.as_ref().and_then(|held| {
+            let due = lock(held).pool.wake_at();
+            if due.is_some_and(|at| at <= clock.now()) {
+                self.feed(clock, Event::Tick);
+            }
+            lock(held).pool.wake_at()
+        });
+        [self.dispatcher.tick(clock.now()), pool].into_iter().flatten().reduce(f64::min)
+    }
+}
+
+fn mean(spec: &Spec) -> f64 {
+    let n = spec.parts.len().max(1) as f64;
+    spec.parts.iter().map(|p| p.weight).sum::<f64>() / n
+}
+
+/// What is known of the machines that pools name, beside what pools know.
+#[derive(Default)]
+pub struct Machines {
+    /// By id.
+    all: Mutex<HashMap<Arc<str>, Facts>>,
+}
+
+#[derive(Clone)]
+struct Facts {
+    zone: Option<usize>,
+    kind: Option<usize>,
+    cell: i64,
+    link: f64,
+}
+
+impl Machines {
+    /// A pool's machine as the module's list has it; `mean` is that of the pool's weights.
+    pub fn entry(&self, m: &Machine, mean: f64) -> Entry {
+        let all = lock(&self.all);
+        let f = all.get(&m.id);
+        Entry {
+            cache: CacheId(m.id.clone()),
+            weight: f.map_or(1.0, |f| f.link) * m.weight / if mean > 0.0 { mean } else { 1.0 },
+            zone: f.and_then(|f| f.zone),
+            kind: f.and_then(|f| f.kind),
+            cell: f.map_or(0, |f| f.cell),
+            born_ms: m.born_ms,
+            phase: match m.phase {
+                Phase::In => fernslip::Phase::In,
+                Phase::Draining => fernslip::Phase::Draining,
+                Phase::Out => fernslip::Phase::Out,
+            },
+        }
+    }
+}
+
+/// All lanes of a front.
+pub struct Lanes {
+    lanes: Vec<Arc<Lane>>,
+    /// Routes, and the lane of each of their pools.
+    table: ArcSwap<(Routes, Vec<usize>)>,
+    machines: Arc<Machines>,
+    /// The document's members, where they are served from.
+    file: Option<Mutex<BTreeMap<Arc<str>, Known>>>,
+    /// What the bus has listed, for pools.
+    listed: Mutex<HashMap<CacheId, Entry>>,
+    /// Requests open in any lane: an id may be open once.
+    ids: Mutex<HashSet<RequestId>>,
+    open: AtomicUsize,
+    most_open: usize,
+    shared: u32,
+    longest_pause: f64,
+}
+
+/// A request's id, which no other has as long as this lives.
+pub struct Id<'l>(&'l Lanes, RequestId);
+
+impl Drop for Id<'_> {
+    fn drop(&mut self) {
+        lock(&self.0.ids).remove(&self.1);
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Settings of one lane of several: what a machine can take is shared among all that send to it, so each lane counts
+/// as a front of its own.
+fn settings(base: &Settings, lanes: usize, lane: usize, shared: u32) -> Settings {
+    let mut s = base.clone();
+    if lanes > 1 {
+        s.routers *= lanes as u32;
+        s.slot = s.slot * lanes as u32 + lane as u32;
+        s.zone_routers.iter_mut().for_each(|n| *n *= shared);
+        // Peers of one front's lanes can't be told apart by their address.
+        s.peers = false;
+    }
+    s
+}
+
+impl Lanes {
+    /// The lanes of a plan, or the one of a front without; `ways` makes a way out for each.
+    pub fn new(
+        base: &Settings,
+        seed: u64,
+        plan: Option<Plan>,
+        machines: Arc<Machines>,
+        ways: impl Fn() -> Ways,
+    ) -> Result<Lanes, SettingsError> {
+        let none = Plan {
+            from_file: false,
+            members: BTreeMap::new(),
+            pools: Vec::new(),
+            routes: Routes::of(&fernslip_site::Site::default()),
+            shared: 1,
+        };
+        let Plan { from_file, members, pools, routes, shared } = plan.unwrap_or(none);
+        let n = pools.len();
+        let mut lanes = Vec::new();
+        for (i, spec) in pools.into_iter().enumerate() {
+            let dispatcher = Dispatcher::new(settings(base, n, i, shared), seed ^ i as u64, ways())?;
+            let name = spec.name.clone();
+            let mean = mean(&spec);
+            let pool = match from_file {
+                true => Pool::new(spec, seed),
+                false => Pool::listed(spec, seed),
+            };
+            let held = Held { pool, machines: BTreeMap::new(), mean, seats: HashMap::new() };
+            lanes.push(Arc::new(Lane { name, dispatcher, held: Some(Mutex::new(held)) }));
+        }
+        if lanes.is_empty() {
+            let dispatcher = Dispatcher::new(base.clone(), seed, ways())?;
+            lanes.push(Arc::new(Lane { name: String::new(), dispatcher, held: None }));
+        }
+        Ok(Lanes {
+            table: ArcSwap::from_pointee((routes, (0..n).collect())),
+            lanes,
+            machines,
+            file: from_file.then(|| Mutex::new(members)),
+            listed: Mutex::default(),
+            ids: Mutex::default(),
+            open: AtomicUsize::new(0),
+            most_open: base.max_open as usize,
+            shared,
+            longest_pause: base.max_retry_after_ms,
+        })
+    }
+
+    /// Every lane.
+    pub fn all(&self) -> &[Arc<Lane>] {
+        &self.lanes
+    }
+
+    /// Whether the members are the document's.
+    pub fn from_file(&self) -> bool {
+        self.file.is_some()
+    }
+
+    /// When a request that was turned away may come back.
+    pub fn pause_ms(&self) -> f64 {
+        PAUSE_MS.min(self.longest_pause)
+    }
+
+    /// The lane of a request of that class for that object; `None`: no route leads anywhere. A request of this
+    /// protocol has no host and no path: its path is `/CLASS/OBJECT`.
+    pub fn route(&self, class: &str, object: &str) -> Option<&Arc<Lane>> {
+        let table = self.table.load();
+        let (routes, pools) = &**table;
+        if routes.is_empty() {
+            return self.lanes.first();
+        }
+        match routes.route("", &format!("/{class}/{object}")) {
+            Routed::Pool(n) => pools.get(n).and_then(|lane| self.lanes.get(*lane)),
+            Routed::Excluded | Routed::Unrouted => None,
+        }
+    }
+
+    /// Takes an id; `None`: it is open already, or too many are. One lane's module sees to both by itself.
+    pub fn take(&self, id: RequestId) -> Option<Id<'_>> {
+        let fresh = self.lanes.len() == 1 || lock(&self.ids).insert(id);
+        let open = self.open.fetch_add(1, Ordering::Relaxed);
+        let taken = Id(self, id);
+        if !fresh {
+            // The other's stays.
+            self.open.fetch_sub(1, Ordering::Relaxed);
+            std::mem::forget(taken);
+            return None;
+        }
+        (self.lanes.len() == 1 || open < self.most_open).then_some(taken)
+    }
+
+    /// Begins to serve from the document's members: each lane's first list is a whole one.
+    pub fn begin(&self, clock: &Clock, upstream: &Upstream) {
+        let Some(file) = &self.file else {
+            for lane in self.lanes.iter().filter(|l| l.held.is_some()) {
+                lane.dispatcher.list(clock.now(), ListKind::Full, Vec::new());
+            }
+            return;
+        };
+        let members = lock(file).clone();
+        self.learn(&members);
+        for (id, k) in &members {
+            upstream.know(CacheId(id.clone()), k.addr, 0.0);
+        }
+        let sources: Vec<Entry> =
+            members.iter().filter(|(_, k)| k.is_source).map(|(id, k)| source(id, k, 0.0)).collect();
+        for lane in &self.lanes {
+            lane.dispatcher.list(clock.now(), ListKind::Full, sources.clone());
+            lane.feed(clock, Event::Tick);
+        }
+    }
+
+    fn learn(&self, members: &BTreeMap<Arc<str>, Known>) {
+        let facts = |k: &Known| Facts { zone: k.zone, kind: k.kind, cell: 0, link: k.link };
+        *lock(&self.machines.all) = members.iter().map(|(id, k)| (id.clone(), facts(k))).collect();
+    }
+
+    /// News of the bus. Pools are told of their members and have the last word; sources go to every lane.
+    pub fn list(&self, clock: &Clock, full: bool, entries: Vec<Entry>) {
+        if self.from_file() {
+            return;
+        }
+        let kind = if full { ListKind::Full } else { ListKind::Delta };
+        if let [lane] = &self.lanes[..] {
+            if lane.held.is_none() {
+                return lane.dispatcher.list(clock.now(), kind, entries);
+            }
+        }
+        let mut news = entries;
+        {
+            let mut listed = lock(&self.listed);
+            if full {
+                let here: HashSet<CacheId> = news.iter().map(|e| e.cache.clone()).collect();
+                let gone = listed.values().filter(|e| !here.contains(&e.cache)).cloned();
+                let gone: Vec<Entry> = gone.map(|e| Entry { phase: fernslip::Phase::Out, ..e }).collect();
+                news.extend(gone);
+            }
+            let mut all = lock(&self.machines.all);
+            for e in &news {
+                if e.phase == fernslip::Phase::Out {
+                    listed.remove(&e.cache);
+                } else {
+                    listed.insert(e.cache.clone(), e.clone());
+                }
+                let facts = Facts { zone: e.zone, kind: e.kind, cell: e.cell, link: e.weight };
+                all.insert(e.cache.0.clone(), facts);
+            }
+        }
+        self.pass_on(clock, &news);
+        // What has gone from the list is forgotten here too, once the lanes know.
+        let listed = lock(&self.listed);
+        lock(&self.machines.all).retain(|id, _| listed.contains_key(&CacheId(id.clone())));
+    }
+
+    fn pass_on(&self, clock: &Clock, news: &[Entry]) {
+        for lane in &self.lanes {
+            let host = lane.dispatcher.host();
+            let sources = news.iter().filter(|e| host.is_source(e.kind)).cloned().collect::<Vec<_>>();
+            if !sources.is_empty() {
+                lane.dispatcher.list(clock.now(), ListKind::Delta, sources);
+            }
+            for e in news.iter().filter(|e| !host.is_source(e.kind)) {
+                let told = match e.phase {
+                    fernslip::Phase::In => Told::Up,
+                    fernslip::Phase::Draining => Told::Draining,
+                    fernslip::Phase::Out => Told::Gone,
+                };
+                lane.feed(clock, Event::Told { id: e.cache.0.clone(), told, born_ms: e.born_ms });
+            }
+        }
+    }
+
+    /// Takes a changed document up by its difference; what has changed, or why it can't be taken up.
+    pub fn take_up(&self, clock: &Clock, upstream: &Upstream, plan: Plan) -> Result<String, String> {
+        if plan.from_file != self.from_file() {
+            return Err("where the members come from takes a restart".into());
+        }
+        let lane = |name: &str| self.lanes.iter().position(|l| l.name == name);
+        let places: Option<Vec<usize>> = plan.pools.iter().map(|p| lane(&p.name)).collect();
+        let Some(places) = places.filter(|p| p.len() == self.lanes.len()) else {
+            return Err("pools that come or go take a restart".into());
+        };
+        if plan.shared > self.shared {
+            return Err("a member that is in more pools than any was takes a restart".into());
+        }
+        let mut told = String::new();
+        if let Some(file) = &self.file {
+            told = self.members_change(clock, upstream, &mut lock(file), &plan.members);
+        }
+        for (spec, place) in plan.pools.into_iter().zip(&places) {
+            self.lanes[*place].describe(clock, spec);
+        }
+        if let Some(file) = &self.file {
+            // Only now is nothing sent there any more.
+            let mut held = lock(file);
+            for id in held.keys().filter(|id| !plan.members.contains_key(*id)) {
+                upstream.drop_node(&CacheId(id.clone()));
+            }
+            *held = plan.members;
+            self.learn(&held);
+        } else {
+            let listed: Vec<Entry> = lock(&self.listed).values().cloned().collect();
+            self.pass_on(clock, &listed);
+        }
+        self.table.store(Arc::new((plan.routes, places)));
+        Ok(told)
+    }
+
+    /// New members, other addresses, and sources; members of pools drain and go with their pools' descriptions.
+    fn members_change(
+        &self,
+        clock: &Clock,
+        upstream: &Upstream,
+        old: &mut BTreeMap<Arc<str>, Known>,
+        new: &BTreeMap<Arc<str>, Known>,
+    ) -> String {
+        let now = clock.now();
+        let (mut added, mut moved, mut changed) = (0, 0, 0);
+        let mut sources = Vec::new();
+        let mut facts = old.clone();
+        facts.extend(new.iter().map(|(id, k)| (id.clone(), k.clone())));
+        self.learn(&facts);
+        for (id, k) in new {
+            let cache = CacheId(id.clone());
+            let before = old.get(id);
+            if before == Some(k) {
+                continue;
+            }
+            let elsewhere = before.is_some_and(|b| b.addr != k.addr);
+            added += u32::from(before.is_none());
+            moved += u32::from(elsewhere);
+            changed += u32::from(before.is_some() && !elsewhere);
+            let back = before.is_some_and(|b| b.state == State::Stopped);
+            let fresh = before.is_none() || elsewhere || back;
+            if before.is_none() || elsewhere {
+                upstream.know(cache, k.addr, now);
+            }
+            if k.is_source {
+                // One that comes, or comes back, may have just started.
+                sources.push(source(id, k, if fresh { now } else { 0.0 }));
+            } else if elsewhere {
+                for lane in &self.lanes {
+                    lane.feed(clock, Event::Told { id: id.clone(), told: Told::Up, born_ms: now });
+                }
+            }
+        }
+        let gone = old.iter().filter(|(id, _)| !new.contains_key(*id));
+        let mut lost = 0;
+        for (id, k) in gone {
+            lost += 1;
+            if k.is_source {
+                sources.push(Entry { phase: fernslip::Phase::Out, ..source(id, k, 0.0) });
+            }
+        }
+        if !sources.is_empty() {
+            for lane in &self.lanes {
+                lane.dispatcher.list(now, ListKind::Delta, sources.clone());
+            }
+        }
+        format!("members added={added} gone={lost} moved={moved} changed={changed}")
+    }
+}
+
+/// A parent or the origin as the module's list has it.
+fn source(id: &Arc<str>, k: &Known, born_ms: f64) -> Entry {
+    Entry {
+        cache: CacheId(id.clone()),
+        weight: k.link,
+        zone: k.zone,
+        kind: k.kind,
+        cell: 0,
+        born_ms,
+        phase: match k.state {
+            State::Draining => fernslip::Phase::Draining,
+            State::Stopped => fernslip::Phase::Out,
+            _ => fernslip::Phase::In,
+        },
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,7 +1,8 @@
 //! The front on real sockets. Clients speak MessagePack-RPC, cache nodes RESP; what is done with a request is
 //! decided by [`fernslip`] behind its facade.
 //!
-//! [`start`] takes a [`config::Config`] and serves until the process is told to end.
+//! [`start`] takes a [`Start`], a configuration and perhaps a site document, and serves until the process is told to
+//! end.
 
 pub mod budget;
 pub mod buffer;
@@ -9,10 +10,12 @@
 pub mod call;
 pub mod clock;
 pub mod config;
+pub mod lanes;
 pub mod link;
 pub mod log;
 pub mod msgpack_rpc;
 pub mod peers;
+pub mod plan;
 pub mod relay;
 pub mod reload;
 pub mod resp;
@@ -22,16 +25,20 @@
 
 use bus::Bus;
 use clock::Clock;
-use config::Config;
-use fernslip::facade::{Dispatcher, Host, Waiter};
+use config::{Config, ConfigError};
+use fernslip::facade::{Host, Waiter};
 use fernslip::json::Names;
-use fernslip::RequestId;
-use log::Log;
+use fernslip::{Effect, Entry, RequestId};
+use fernslip_pool::Machine;
+use fernslip_site::Site;
+use lanes::{Lanes, Machines};
 use may::net::TcpListener;
 use may::sync::Blocker;
 use peers::Peers;
+use plan::Plan;
 use reload::Reload;
 use spawn::{spawn, spawn_deep};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -47,11 +54,67 @@
 /// After SIGTERM new work may come for so long, and is taken.
 const STILL_COMING: Duration = Duration::from_millis(1000);
 
+/// What a front is started with, read and checked.
+pub struct Start {
+    /// Its configuration.
+    pub config: Config,
+    /// What its site document says, if it has one.
+    pub plan: Option<Plan>,
+    site: Option<PathBuf>,
+}
+
+impl Start {
+    /// Reads the files: the configuration, which is the one that `RELAY_CONFIG` names where none is given, and the
+    /// site document. A document that describes the front itself needs no configuration.
+    ///
+    /// # Errors
+    /// Files that can't be read, mistakes in them, and all that keeps a front from serving from the document.
+    pub fn read(config: Option<PathBuf>, site: Option<PathBuf>) -> Result<Start, ConfigError> {
+        let document = match &site {
+            Some(file) => {
+                let text = std::fs::read_to_string(file).map_err(ConfigError::Read)?;
+                Some(Site::parse(&file.display().to_string(), &text).map_err(ConfigError::Site)?.site)
+            }
+            None => None,
+        };
+        let file = config.or_else(|| std::env::var_os("RELAY_CONFIG").map(PathBuf::from));
+        let config = match (&file, &document) {
+            (Some(file), _) => Config::read(file)?,
+            (None, Some(document)) => plan::config(document).map_err(ConfigError::Plan)?,
+            (None, None) => return Err(ConfigError::NoFile),
+        };
+        let plan = match &document {
+            Some(d) => Some(Plan::of(d, &config.names, &config.settings).map_err(ConfigError::Plan)?),
+            None => None,
+        };
+        Ok(Start { config, plan, site })
+    }
+}
+
 /// The facade's way out to the sockets.
 pub struct Ways {
     upstream: Arc<Upstream>,
     peers: Option<Arc<Peers>>,
-    log: Log,
+    machines: Arc<Machines>,
+    effects: Arc<[Effect]>,
+    sources: [Option<usize>; 2],
+}
+
+impl Ways {
+    /// A pool's machine as the module's list has it.
+    fn entry(&self, m: &Machine, mean: f64) -> Entry {
+        self.machines.entry(m, mean)
+    }
+
+    /// Whether machines of that kind are parents or the origin.
+    fn is_source(&self, kind: Option<usize>) -> bool {
+        kind.is_some() && self.sources.contains(&kind)
+    }
+
+    /// What may be repeated of a class.
+    fn effect(&self, class: usize) -> Effect {
+        self.effects.get(class).copied().unwrap_or(Effect::AtMostOnce)
+    }
 }
 
 impl Host for Ways {
@@ -76,7 +139,7 @@
     }
 
     fn log(&self, line: &str) {
-        self.log.line(format!("module: {line}"));
+        tracing::info!("module: {line}");
     }
 }
 
@@ -86,16 +149,14 @@
     pub clock: Clock,
     /// Names in the settings.
     pub names: Names,
-    /// The decisions.
-    pub dispatcher: Dispatcher<Ways>,
+    /// The pools, each before its decisions.
+    pub lanes: Lanes,
     /// The machines behind.
     pub upstream: Arc<Upstream>,
     /// The clients.
     pub server: server::Server,
     /// The event bus.
     pub bus: Bus,
-    /// Lines for the operators.
-    pub log: Log,
     /// The list of machines is held.
     pub listed: AtomicBool,
     leaving: AtomicBool,
@@ -132,13 +193,13 @@
 impl std::error::Error for StartError {}
 
 /// Starts a front and serves until SIGTERM, and then until all that came is answered.
-pub fn start(config: Config) -> Result<(), StartError> {
+pub fn start(start: Start) -> Result<(), StartError> {
+    let Start { config, plan, site } = start;
     may::config().set_workers(WORKERS).set_stack_size(STACK_WORDS);
     let clock = Clock::start();
-    let log = Log::start();
     let leave = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(signal_hook::consts::SIGTERM, leave.clone()).map_err(StartError::Signal)?;
-    let reload = Reload::catch(config.file).map_err(StartError::Signal)?;
+    let reload = Reload::catch(config.file, site).map_err(StartError::Signal)?;
     let budget = config.budget;
     let limits = Limits {
         streams: config.streams,
@@ -146,7 +207,7 @@
         idle: config.idle,
         connections: budget.upstream,
     };
-    let upstream = Arc::new(Upstream::new(limits, log.clone()));
+    let upstream = Arc::new(Upstream::new(limits));
     let peers = match config.peer_listen {
         Some(at) => {
             let p = Peers::bind(at, config.peers, config.peers_all).map_err(|e| StartError::Bind(at, e))?;
@@ -156,40 +217,55 @@
     };
     let listener = TcpListener::bind(config.listen).map_err(|e| StartError::Bind(config.listen, e))?;
     let listen = listener.local_addr().unwrap_or(config.listen);
-    let ways = Ways { upstream: upstream.clone(), peers: peers.clone(), log: log.clone() };
+    let machines = Arc::new(Machines::default());
+    let effects: Arc<[Effect]> = config.settings.classes.iter().map(|c| c.effect).collect();
+    let sources = [config.settings.parent_kind, config.settings.origin_kind];
+    let ways = || Ways {
+        upstream: upstream.clone(),
+        peers: peers.clone(),
+        machines: machines.clone(),
+        effects: effects.clone(),
+        sources,
+    };
     // The longest that a client waits, and a little to write the last answer.
     let classes = config.settings.classes.clone();
     let longest = classes.iter().map(|c| c.deadline_ms).fold(3000.0, f64::max) + 500.0;
-    let dispatcher = Dispatcher::new(config.settings, config.seed, ways).map_err(StartError::Settings)?;
+    let lanes = Lanes::new(&config.settings, config.seed, plan, machines.clone(), ways);
+    let lanes = lanes.map_err(StartError::Settings)?;
     let front = Arc::new(Shared {
         clock,
         names: config.names,
-        dispatcher,
+        lanes,
         upstream,
         server: server::Server::new(budget, classes),
         bus: Bus::new(config.bus),
-        log,
         listed: AtomicBool::new(false),
         leaving: AtomicBool::new(false),
     });
+    front.lanes.begin(&front.clock, &front.upstream);
+    if front.lanes.from_file() {
+        front.listed.store(true, Ordering::Release);
+    }
     for v in &config.batch {
         match bus::event(v, &front.names) {
             Ok(e) => bus::apply(&front, e),
-            Err(e) => front.log.line(format!("known: {e}")),
+            Err(e) => tracing::warn!("known: {e}"),
         }
     }
-    let f = front.clone();
-    spawn_deep(move || f.bus.run(&f, config.offset));
+    if config.bus.is_some() {
+        let f = front.clone();
+        spawn_deep(move || f.bus.run(&f, config.offset));
+    }
     if let Some(p) = peers {
         let f = front.clone();
         spawn(move || p.run(&f));
     }
-    front.log.line(format!("front {} listens on {listen}", config.name));
+    tracing::info!("front {} listens on {listen}", config.name);
     let f = front.clone();
     spawn(move || f.server.run(&f, &listener));
     let f = front.clone();
     spawn(move || loop {
-        let next = f.dispatcher.tick(f.clock.now());
+        let next = f.lanes.all().iter().filter_map(|l| l.tick(&f.clock)).reduce(f64::min);
         may::coroutine::sleep(
             next.map_or(TICK, |at| f.clock.until(at).clamp(Duration::from_millis(1), TICK)),
         );
@@ -201,19 +277,36 @@
     Ok(())
 }
 
+/// Takes new files up, as far as a running front can.
+fn take_up(front: &Shared, new: Start) {
+    if let Some(bus) = new.config.bus {
+        tracing::info!("reload: bus={bus}; what else is new in the configuration takes a restart");
+        front.bus.move_to(bus);
+    }
+    if let Some(plan) = new.plan {
+        match front.lanes.take_up(&front.clock, &front.upstream, plan) {
+            Ok(told) => tracing::info!("reload: site: {told}"),
+            Err(why) => tracing::warn!("reload: the old site stays: {why}"),
+        }
+    }
+}
+
 /// Sweeps now and then, takes up new configurations, and sees the front out.
 fn keep_house(front: &Shared, leave: &AtomicBool, mut reload: Reload, longest: Duration) {
     let mut left: Option<Instant> = None;
+    let mut lost = 0;
     loop {
         may::coroutine::sleep(SWEEP);
+        let dropped = log::dropped();
+        if dropped > lost {
+            tracing::warn!(dropped = dropped - lost, total = dropped, "log");
+            lost = dropped;
+        }
         front.upstream.sweep();
         front.bus.sweep();
         match reload.poll() {
-            Some(Ok(new)) => {
-                front.log.line(format!("reload: bus={}; what else is new takes a restart", new.bus));
-                front.bus.move_to(new.bus);
-            }
-            Some(Err(why)) => front.log.line(format!("reload: the old one stays: {why}")),
+            Some(Ok(new)) => take_up(front, *new),
+            Some(Err(why)) => tracing::warn!("reload: the old one stays: {why}"),
             None => {}
         }
         let since = left.map(|at| at.elapsed());
@@ -221,15 +314,13 @@
         front.server.sweep(ending);
         if left.is_none() && leave.load(Ordering::Acquire) {
             front.leaving.store(true, Ordering::Release);
-            front.log.line("leaving: SIGTERM".into());
+            tracing::info!("leaving: SIGTERM");
             left = Some(Instant::now());
         }
         if ending {
             front.server.close();
             if front.server.is_done() || since.is_some_and(|t| t >= STILL_COMING + longest) {
-                front.log.line("left".into());
-                // Lets the log's thread write what waits.
-                may::coroutine::sleep(SWEEP);
+                tracing::info!("left");
                 return;
             }
         }
--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -1,45 +1,52 @@
 //! Lines for the operators on standard error, written by a thread of their own: a full pipe must not stop a worker.
+//!
+//! Parts of the front say what happens as `tracing` events, never as spans: coroutines take turns on one thread, and
+//! a span that is entered when one gives way would be the next one's too.
 
-use std::io::Write;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{sync_channel, SyncSender};
-use std::sync::Arc;
+use std::sync::OnceLock;
+use tracing::level_filters::LevelFilter;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::fmt;
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::util::TryInitError;
 
 /// Lines that wait to be written; more are dropped and counted.
 const WAITING: usize = 4096;
 
-/// Where lines go.
-#[derive(Clone)]
-pub struct Log {
-    to: SyncSender<String>,
-    dropped: Arc<AtomicU64>,
+static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// The form of a line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// For people: time, level, what happens, and its fields as `name=value`.
+    #[default]
+    Text,
+    /// One JSON object a line, its fields beside `timestamp`, `level` and `message`.
+    Json,
 }
 
-impl Log {
-    /// Starts the writer.
-    pub fn start() -> Log {
-        let (to, lines) = sync_channel::<String>(WAITING);
-        let dropped = Arc::new(AtomicU64::new(0));
-        let lost = dropped.clone();
-        std::thread::spawn(move || {
-            for line in lines {
-                let n = lost.swap(0, Ordering::Relaxed);
-                let mut err = std::io::stderr().lock();
-                if n > 0 {
-                    let _ = writeln!(err, "log dropped={n}");
-                }
-                let _ = writeln!(err, "{line}");
-            }
-        });
-        Log { to, dropped }
+/// Begins to write what parts of the process say, from that level up. The rest of what waits is written when the
+/// guard is dropped.
+///
+/// # Errors
+/// Something in the process writes already.
+pub fn install(format: Format, least: LevelFilter) -> Result<WorkerGuard, TryInitError> {
+    let (to, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(WAITING)
+        .thread_name("log")
+        .finish(std::io::stderr());
+    let _ = DROPPED.set(to.error_counter());
+    let lines = fmt().with_max_level(least).with_writer(to).with_ansi(false).with_target(false);
+    match format {
+        Format::Text => lines.finish().try_init()?,
+        Format::Json => lines.json().flatten_event(true).with_current_span(false).finish().try_init()?,
     }
+    Ok(guard)
+}
 
-    /// Writes a line, some time.
-    pub fn line(&self, line: String) {
-        if self.to.try_send(line).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-        }
-    }
+/// How many lines were dropped so far since too many waited.
+pub fn dropped() -> usize {
+    DROPPED.get().map_or(0, ErrorCounter::dropped_lines)
 }
 
 /// Why a connection ended: the code in its log line.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -51,7 +51,9 @@
             };
             let sender = self.each.iter().position(|p| *p == from);
             if let Some(slot) = sender.filter(|_| n <= MOST_BYTES) {
-                front.dispatcher.heard(front.clock.now(), slot as u32, data[..n].to_vec());
+                for lane in front.lanes.all() {
+                    lane.dispatcher.heard(front.clock.now(), slot as u32, data[..n].to_vec());
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/front/src/plan.rs
@@ -0,0 +1,306 @@
+//! A site document as a front can serve from it: addresses, kinds and zones looked up, pools and routes taken from
+//! it, or every reason why not.
+
+use crate::budget::Budget;
+use crate::config::Config;
+use fernslip::json::Names;
+use fernslip::{Class, DedupScope, Effect, Neighbours, NoteLevel, Settings};
+use fernslip_pool::{Routes, Spec};
+use fernslip_site::{Kind, MembersFrom, Pool, PoolLimits, Protocol, Recovery, Retry, Site, State, Use};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Kinds of machine in settings made of a site document, in the order of their numbers.
+const KINDS: [&str; 3] = ["cache", "parent", "origin"];
+/// The pool of a site that describes none: all its caches.
+const DEFAULT_POOL: &str = "default";
+
+/// A member of the document.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Known {
+    /// Where it is.
+    pub addr: SocketAddr,
+    /// Its zone.
+    pub zone: Option<usize>,
+    /// Its kind.
+    pub kind: Option<usize>,
+    /// Its link, in answers at full pace.
+    pub link: f64,
+    /// What the operators want of it.
+    pub state: State,
+    /// A parent or the origin: every pool fills from it.
+    pub is_source: bool,
+}
+
+/// What a front serves from.
+#[derive(Debug)]
+pub struct Plan {
+    /// The members are those of the document, not of the bus.
+    pub from_file: bool,
+    /// The members, by their ids; empty where the bus has them.
+    pub members: BTreeMap<Arc<str>, Known>,
+    /// The pools, in the order of the document.
+    pub pools: Vec<Spec>,
+    /// The routes; their pools are those above.
+    pub routes: Routes,
+    /// In how many pools the most used cache is.
+    pub shared: u32,
+}
+
+impl Plan {
+    /// Makes a plan of a document, for a front with these settings. Every reason why it can't be is told.
+    pub fn of(site: &Site, names: &Names, settings: &Settings) -> Result<Plan, Vec<String>> {
+        let from_file = site.members_from == Some(MembersFrom::File);
+        let mut site = site.effective();
+        if from_file && site.pools.is_empty() {
+            site.pools.push(default_pool(&site));
+        }
+        let mut wrong = Vec::new();
+        let mut members = BTreeMap::new();
+        for m in site.members.iter().filter(|_| from_file) {
+            let id = &m.id;
+            if let Some(p) = m.protocol.filter(|p| !p.is_spoken()) {
+                let spoken = Protocol::Resp;
+                wrong
+                    .push(format!("member \"{id}\" speaks {p}: this front speaks {spoken} with its members"));
+            }
+            let place = |all: &[String], name: &str| all.iter().position(|n| n == name);
+            let zone = m.zone.as_deref().map(|z| (z, place(&names.zones, z)));
+            if let Some((z, None)) = zone {
+                wrong.push(format!("member \"{id}\": the front's settings know no zone \"{z}\""));
+            }
+            let kind = match m.kind.unwrap_or(Kind::Cache) {
+                Kind::Parent => settings.parent_kind,
+                Kind::Origin => settings.origin_kind,
+                Kind::Cache => (0..settings.kinds)
+                    .find(|k| ![settings.parent_kind, settings.origin_kind].contains(&Some(*k))),
+            };
+            if kind.is_none() {
+                wrong.push(format!("member \"{id}\": the front's settings know no machine of its kind"));
+            }
+            let Ok(addr) = m.address.parse() else {
+                let at = &m.address;
+                wrong.push(format!(
+                    "member \"{id}\": `{at}` is a name; a front looks none up: write its IP address"
+                ));
+                continue;
+            };
+            let known = Known {
+                addr,
+                zone: zone.map_or(Some(settings.zone), |z| z.1),
+                kind,
+                link: m.link_kb_per_s.unwrap_or(fernslip_site::defaults::MEMBER_KB_PER_S)
+                    / settings.stream_kb_per_s,
+                state: m.state,
+                is_source: m.kind.is_some_and(|k| k != Kind::Cache),
+            };
+            members.insert(Arc::from(id.as_str()), known);
+        }
+        let mut uses: HashMap<&str, u32> = HashMap::new();
+        for p in &site.pools {
+            for u in &p.members {
+                *uses.entry(&u.member).or_default() += 1;
+                if members.get(u.member.as_str()).is_some_and(|k: &Known| k.is_source) {
+                    let (pool, id) = (&p.name, &u.member);
+                    wrong.push(format!(
+                        "pool \"{pool}\" uses \"{id}\", which is no cache: sources serve all pools"
+                    ));
+                }
+            }
+        }
+        if !wrong.is_empty() {
+            return Err(wrong);
+        }
+        Ok(Plan {
+            from_file,
+            shared: uses.values().copied().max().unwrap_or(1),
+            pools: Spec::all(&site),
+            routes: Routes::of(&site),
+            members,
+        })
+    }
+}
+
+fn default_pool(site: &Site) -> Pool {
+    let caches = site.members.iter().filter(|m| m.kind == Some(Kind::Cache));
+    let part = |m: &fernslip_site::Member| Use {
+        member: m.id.clone(),
+        weight: m.weight,
+        state: Some(m.state),
+        tier: None,
+        group: None,
+        instead: None,
+    };
+    let pool = Pool {
+        name: DEFAULT_POOL.into(),
+        members: caches.map(part).collect(),
+        limits: PoolLimits::default(),
+        retry: Retry::default(),
+        recovery: Recovery::default(),
+    };
+    let filled = Site { pools: vec![pool], ..site.clone() }.effective();
+    filled.pools.into_iter().next().unwrap_or_else(|| unreachable!("one pool went in"))
+}
+
+/// The configuration of a front that has nothing but a site document.
+pub fn config(site: &Site) -> Result<Config, Vec<String>> {
+    let site = site.effective();
+    let front =
+        site.front.as_ref().ok_or(vec!["it has no `front`, and no configuration is named".to_string()])?;
+    let mut wrong = Vec::new();
+    if site.members_from != Some(MembersFrom::File) {
+        wrong.push("members-from=\"bus\" needs a configuration that names the bus".to_string());
+    }
+    if site.classes.is_empty() {
+        wrong.push("it has no `class`: a front serves requests of classes".to_string());
+    }
+    let listen = front.listen.parse();
+    if listen.is_err() {
+        wrong.push(format!("front listen=\"{}\" is no IP address and port", front.listen));
+    }
+    let (Ok(listen), true) = (listen, wrong.is_empty()) else { return Err(wrong) };
+    let mut zones: Vec<String> = site.zones.iter().map(|z| z.name.clone()).collect();
+    if zones.is_empty() {
+        zones.push("zone".into());
+    }
+    let own = front.zone.as_ref().and_then(|z| zones.iter().position(|n| n == z)).unwrap_or(0);
+    let by_zone = |f: &dyn Fn(&fernslip_site::Zone) -> f64, none| match site.zones.is_empty() {
+        true => vec![none],
+        false => site.zones.iter().map(f).collect::<Vec<f64>>(),
+    };
+    let fronts = by_zone(&|z| z.fronts.unwrap_or(1) as f64, 1.0);
+    let class = |c: &fernslip_site::Class| Class {
+        name: c.name.clone(),
+        aim_ms: c.aim_ms as f64,
+        aim_stretch: c.aim_stretch.unwrap_or(0.0),
+        deadline_ms: c.deadline_ms as f64,
+        worth: c.worth.unwrap_or(1.0),
+        late_worth: c.late_worth.unwrap_or(0.0),
+        effect: match c.effect {
+            Some(fernslip_site::Effect::AtMostOnce) => Effect::AtMostOnce,
+            Some(fernslip_site::Effect::Deduplicated) => Effect::Deduplicated,
+            _ => Effect::Idempotent,
+        },
+        scope: DedupScope::Cell,
+        repeat_window_ms: 0.0,
+        write: c.write.unwrap_or(false),
+        fresh_ms: c.fresh_ms.unwrap_or(0) as f64,
+        grace_ms: c.grace_ms.unwrap_or(0) as f64,
+    };
+    let budget = Budget::of(front.sockets.unwrap_or(0) as usize, front.memory_mb.unwrap_or(0) as usize);
+    let classes: Vec<Class> = site.classes.iter().map(class).collect();
+    let names = Names {
+        zones: zones.clone(),
+        kinds: KINDS.map(String::from).to_vec(),
+        classes: classes.iter().map(|c| c.name.clone()).collect(),
+    };
+    // The rules' figures are those of the first deployment; a site with other machines tells them by a configuration.
+    let settings = Settings {
+        zone: own,
+        zone_routers: fronts.iter().map(|n| *n as u32).collect(),
+        link_in_kb_per_s: by_zone(&|z| z.link_in_kb_per_s.unwrap_or(0.0), 0.0),
+        zones,
+        kinds: KINDS.len(),
+        parent_kind: Some(1),
+        origin_kind: Some(2),
+        slot: 0,
+        routers: (fronts.iter().sum::<f64>() as u32).max(1),
+        straight: false,
+        joins: true,
+        neighbours: Neighbours::Location,
+        notes: NoteLevel::Hit,
+        stream_kb_per_s: front.stream_kb_per_s.unwrap_or(fernslip_site::defaults::STREAM_KB_PER_S),
+        max_attempts: 6,
+        max_open: budget.open as u32,
+        parallel: false,
+        cancel: true,
+        peers: false,
+        max_retry_after_ms: 500.0,
+        ask_for_lists: false,
+        tick_ms: 2.0,
+        drain_grace_ms: 500.0,
+        cold_from: 0.23,
+        cold_ms: 16_000.0,
+        cold_multiple: 2.0,
+        cold_window_ms: 1500.0,
+        parent_cold_from: 0.065,
+        parent_cold_ms: 21_000.0,
+        parent_cold_multiple: 2.0,
+        purge_slack_ms: 1000.0,
+        purge_done_ms: 6000.0,
+        classes,
+    };
+    settings.check().map_err(|e| vec![e.to_string()])?;
+    let mut seed = [0; 8];
+    // Without a source of randomness hints and trials are spread alike at every start, which harms nobody alone.
+    if let Ok(mut f) = std::fs::File::open("/dev/urandom") {
+        let _ = std::io::Read::read_exact(&mut f, &mut seed);
+    }
+    Ok(Config {
+        file: None,
+        name: front.name.clone(),
+        listen,
+        seed: u64::from_le_bytes(seed),
+        budget,
+        peer_listen: None,
+        peers: Vec::new(),
+        peers_all: None,
+        bus: None,
+        offset: 0,
+        batch: Vec::new(),
+        settings,
+        names,
+        streams: 32,
+        connect_timeout: std::time::Duration::from_millis(fernslip_site::defaults::CONNECT_MS),
+        idle: std::time::Duration::from_millis(fernslip_site::defaults::IDLE_MS),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn site(text: &str) -> Site {
+        Site::parse("site.kdl", text).expect("a site").site
+    }
+
+    const FRONT: &str = "front \"n\" listen=\"127.0.0.1:0\"\nclass \"docs\" aim-ms=600 deadline-ms=5000\n";
+
+    #[test]
+    fn every_reason_against_a_site_is_told() {
+        let s = site(&format!(
+            "site \"x\" members-from=\"file\"\n{FRONT}zone \"e\"\n{}",
+            "member \"a\" address=\"10.0.0.1:80\" protocol=\"http\"\nmember \"b\" address=\"b.example:80\"\n\
+             member \"c\" address=\"10.0.0.1:80\" kind=\"parent\" zone=\"e\"\npool \"p\" { use \"c\"; use \"b\"; }"
+        ));
+        let c = config(&s).ok().expect("a front");
+        let wrong = Plan::of(&s, &c.names, &c.settings).unwrap_err();
+        assert_eq!(wrong.len(), 3, "{wrong:?}");
+        assert!(
+            wrong[0].contains("\"a\" speaks http")
+                && wrong[1].contains("\"b\"")
+                && wrong[2].contains("\"c\"")
+        );
+        assert_eq!(config(&site("site \"x\"")).err().map(|e| e.len()), Some(1));
+        assert_eq!(config(&site("front \"n\" listen=\"here\"")).err().map(|e| e.len()), Some(3));
+    }
+
+    #[test]
+    fn a_site_without_pools_is_one() {
+        let s = site(&format!(
+            "site \"x\" members-from=\"file\"\n{FRONT}{}",
+            "member \"a\" address=\"10.0.0.1:80\" state=\"draining\" weight=3\n\
+             member \"p\" address=\"10.0.0.2:80\" kind=\"parent\"\n"
+        ));
+        let c = config(&s).ok().expect("a front");
+        let plan = Plan::of(&s, &c.names, &c.settings).expect("a plan");
+        assert_eq!(plan.pools.len(), 1);
+        let parts = &plan.pools[0].parts;
+        assert_eq!(
+            (parts.len(), &*parts[0].id, parts[0].weight, parts[0].state),
+            (1, "a", 3.0, State::Draining)
+        );
+        assert!(plan.members["p"].is_source && plan.routes.is_empty());
+    }
+}
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -1,12 +1,17 @@
 //! A request's life: picked, tried as often as the module says, answered.
 
 use crate::call::Ask;
-use crate::clock::Clock;
-use crate::upstream::{Reply, Upstream};
-use fernslip::facade::{Attempt, Decision, Dispatcher, Ended, Host};
-use fernslip::{Ending, Request};
+use crate::lanes::Lane;
+use crate::upstream::Reply;
+use crate::Shared;
+use fernslip::facade::{Attempt, Decision, Ended};
+use fernslip::{Effect, Ending, Request};
+use std::sync::Arc;
 use std::time::Instant;
 
+/// Of a client's patience, what its request may wait for a place in its pool.
+const WAIT_PART: f64 = 0.5;
+
 /// The final answer.
 #[derive(Debug)]
 pub enum Answer {
@@ -50,23 +55,47 @@
     f
 }
 
-/// Sees a request through to its final answer.
-pub fn serve<H: Host>(
-    dispatcher: &Dispatcher<H>,
-    upstream: &Upstream,
-    clock: &Clock,
+/// Sees a request through to its final answer. `wanted` tells whether its client is still there.
+pub fn serve(
+    front: &Shared,
+    lane: &Arc<Lane>,
     request: Request,
     ask: &Ask,
+    wanted: impl Fn() -> bool,
 ) -> Answer {
+    let Shared { clock, upstream, lanes, .. } = front;
+    let dispatcher = &lane.dispatcher;
+    let turned_away = Answer::Refused(lanes.pause_ms());
+    let Some(_id) = lanes.take(request.id) else { return turned_away };
+    // Waiting takes a part of the client's patience only: what is let in late must still be served in time.
+    let Some(place) = lane.enter(clock, clock.now() + request.budget_ms * WAIT_PART) else {
+        return turned_away;
+    };
+    if !wanted() {
+        return Answer::None;
+    }
+    let effect = dispatcher.host().effect(request.class);
+    let mut may_have_run = false;
     let mut decision = dispatcher.pick(clock.now(), request);
     let mut reply = None;
     loop {
         match decision {
             Decision::Try(a) => {
+                if a.number > 0 && !place.again() {
+                    // The pool's own limit: the module is told that this attempt is not made.
+                    dispatcher.stop(clock.now(), &a);
+                    return match may_have_run && effect != Effect::Idempotent {
+                        true => Answer::Failed,
+                        false => turned_away,
+                    };
+                }
+                place.sent(&a);
                 let sent = Instant::now();
                 let deadline = sent + clock.until(a.until_ms);
                 let line = fields(ask, &a, a.until_ms - clock.now());
                 let end = upstream.run(&a, ask, &line, deadline);
+                place.ended(&a, end.ending);
+                may_have_run |= !end.ending.never_ran();
                 if end.ending == Ending::Completed {
                     reply = end.reply;
                 }
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -3,6 +3,7 @@
 use crate::budget::Budget;
 use crate::buffer::Buffer;
 use crate::call;
+use crate::lanes::Lane;
 use crate::link::{lock, Link};
 use crate::log::Reason;
 use crate::msgpack_rpc::{self as rpc, Fields, Message};
@@ -34,7 +35,7 @@
 
 struct Open {
     /// By the call's number on this connection.
-    calls: HashMap<u32, RequestId>,
+    calls: HashMap<u32, (RequestId, Arc<Lane>)>,
     /// No call is open since then.
     idle_since: Option<Instant>,
     /// A message has come in part since then.
@@ -137,6 +138,10 @@
                 return Ok(());
             }
         };
+        let Some(lane) = front.lanes.route(&ask.class, &ask.item).cloned() else {
+            self.send(front, rpc::error(number, "Fault", &[("route", "none")]));
+            return Ok(());
+        };
         let bytes = ask.body.len();
         {
             let mut open = lock(&self.open);
@@ -152,13 +157,14 @@
                 return Ok(());
             }
             bodies.fetch_add(bytes, Ordering::Relaxed);
-            open.calls.insert(number, request.id);
+            open.calls.insert(number, (request.id, lane.clone()));
             open.idle_since = None;
             open.taken += 1;
         }
         let (client, front) = (self.clone(), front.clone());
         spawn(move || {
-            let answer = relay::serve(&front.dispatcher, &front.upstream, &front.clock, request, &ask);
+            let wanted = || lock(&client.open).calls.contains_key(&number);
+            let answer = relay::serve(&front, &lane, request, &ask, wanted);
             front.server.bodies.fetch_sub(bytes, Ordering::Relaxed);
             client.answer(&front, number, answer);
         });
@@ -174,8 +180,8 @@
             }
             id
         };
-        if let Some(id) = id {
-            front.dispatcher.gone(front.clock.now(), id);
+        if let Some((id, lane)) = id {
+            lane.dispatcher.gone(front.clock.now(), id);
         }
     }
 
@@ -262,8 +268,7 @@
                 Ok((stream, _)) if self.closed.load(Ordering::Acquire) => drop(stream),
                 Ok((stream, peer)) => {
                     if !self.make_place() {
-                        let code = Reason::TooMany.code();
-                        front.log.line(format!("end kind=client peer={peer} reason={code}"));
+                        tracing::info!(kind = %"client", %peer, reason = %Reason::TooMany.code(), "end");
                         continue;
                     }
                     // Listed at once: the next one to come is counted against it.
@@ -313,13 +318,10 @@
             moved(&self.partial, &mut open.partial, 0);
             (std::mem::take(&mut open.calls), open.taken)
         };
-        front.log.line(format!(
-            "end kind=client peer={peer} reason={} taken={taken} unanswered={}",
-            why.code(),
-            left.len()
-        ));
-        for id in left.into_values() {
-            front.dispatcher.gone(front.clock.now(), id);
+        let unanswered = left.len();
+        tracing::info!(kind = %"client", %peer, reason = %why.code(), taken, unanswered, "end");
+        for (id, lane) in left.into_values() {
+            lane.dispatcher.gone(front.clock.now(), id);
         }
     }
 
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use crate::call::Ask;
 use crate::link::{lock, Link};
-use crate::log::{Log, Reason};
+use crate::log::Reason;
 use crate::resp;
 use crate::spawn::spawn;
 use fernslip::facade::{Attempt, Waiter};
@@ -278,7 +278,6 @@
 /// All connections to the machines behind.
 pub struct Upstream {
     limits: Limits,
-    log: Log,
     nodes: Mutex<HashMap<CacheId, Node>>,
     leaving: Mutex<Vec<Arc<Conn>>>,
     attempts: Mutex<HashMap<(RequestId, u32), Arc<Slot>>>,
@@ -287,10 +286,9 @@
 
 impl Upstream {
     /// No machine is known yet.
-    pub fn new(limits: Limits, log: Log) -> Upstream {
+    pub fn new(limits: Limits) -> Upstream {
         Upstream {
             limits,
-            log,
             nodes: Mutex::default(),
             leaving: Mutex::default(),
             attempts: Mutex::default(),
@@ -402,7 +400,7 @@
         conn.admit(a.id, slot, self.limits.streams);
         node.conns.push(conn.clone());
         let (dialled, addr, timeout) = (conn.clone(), node.addr, self.limits.connect_timeout);
-        let (name, log, count) = (a.cache.clone(), self.log.clone(), self.connections.clone());
+        let (name, count) = (a.cache.clone(), self.connections.clone());
         spawn(move || {
             let (why, unwritten) = match TcpStream::connect_timeout(&addr, timeout) {
                 Ok(stream) => {
@@ -417,11 +415,7 @@
             dialled.lost(unwritten);
             count.fetch_sub(1, Ordering::Relaxed);
             let asked = lock(&dialled.open).asked;
-            log.line(format!(
-                "end kind=upstream node={} addr={addr} reason={} asked={asked}",
-                name.0,
-                why.code()
-            ));
+            tracing::info!(kind = %"upstream", node = %name.0, %addr, reason = %why.code(), asked, "end");
         });
         Ok(conn)
     }
@@ -505,7 +499,7 @@
             idle: Duration::from_secs(9),
             connections: 16, // half of them for machines to come
         };
-        let upstream = Arc::new(Upstream::new(limits, Log::start()));
+        let upstream = Arc::new(Upstream::new(limits));
         let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         upstream.know("s-1".into(), silent.local_addr().expect("bound"), 0.0);
         let done = may::go!(move || {
@@ -552,7 +546,7 @@
             idle: Duration::from_secs(9),
             connections: 4,
         };
-        let upstream = Arc::new(Upstream::new(limits, Log::start()));
+        let upstream = Arc::new(Upstream::new(limits));
         // A machine that takes connections and says nothing.
         let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         upstream.know("s-1".into(), silent.local_addr().expect("bound"), 0.0);
--- a/crates/import/src/build.rs
+++ b/crates/import/src/build.rs
@@ -119,6 +119,7 @@
             weight: None,
             state: State::Ready,
             zone: None,
+            link_kb_per_s: None,
             limits,
         });
         id
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -281,6 +281,8 @@
     pub state: State,
     /// Its zone.
     pub zone: Option<String>,
+    /// What its link out carries, KB a second. A pool's weights share the mean of its members' links.
+    pub link_kb_per_s: Option<f64>,
     /// Its limits.
     pub limits: MemberLimits,
 }
@@ -402,6 +404,9 @@
     pub const SOCKETS: u64 = 1024;
     /// `front stream-kb-per-s`: the middle of what the first deployment's clients were sent at.
     pub const STREAM_KB_PER_S: f64 = 3400.0;
+    /// `member link-kb-per-s`: some twelve answers at the pace above, a small machine of the first deployment. Too
+    /// low a figure refuses what could be served; too high a one lets a machine be crowded, which its answers show.
+    pub const MEMBER_KB_PER_S: f64 = 40_000.0;
     /// `limits connect-ms`.
     pub const CONNECT_MS: u64 = 400;
     /// `limits idle-ms`.
@@ -451,6 +456,7 @@
             m.protocol.get_or_insert(Protocol::Resp);
             m.kind.get_or_insert(Kind::Cache);
             m.weight.get_or_insert(1.0);
+            m.link_kb_per_s.get_or_insert(MEMBER_KB_PER_S);
             m.limits.connect_ms.get_or_insert(CONNECT_MS);
             m.limits.idle_ms.get_or_insert(IDLE_MS);
         }
--- a/crates/site/src/print.rs
+++ b/crates/site/src/print.rs
@@ -160,7 +160,8 @@
         .word("kind", m.kind)
         .number("weight", m.weight)
         .word("state", state)
-        .text("zone", m.zone.as_deref());
+        .text("zone", m.zone.as_deref())
+        .number("link-kb-per-s", m.link_kb_per_s);
     if m.limits == MemberLimits::default() {
         return line.end();
     }
--- a/crates/site/src/read.rs
+++ b/crates/site/src/read.rs
@@ -193,6 +193,7 @@
         weight: f.number("weight", 1e-6, MOST_WEIGHT),
         state: f.word("state").unwrap_or(State::Ready),
         zone: zone.map(|z| z.0.into()),
+        link_kb_per_s: f.number("link-kb-per-s", 0.001, 1e12),
         limits: MemberLimits::default(),
     };
     places.addresses.push(address.map_or(f.span(), |a| a.1));
--- a/crates/site/tests/properties.rs
+++ b/crates/site/tests/properties.rs
@@ -36,6 +36,7 @@
         weight,
         state,
         zone: Some("z".into()),
+        link_kb_per_s: weight,
         limits: MemberLimits {
             connections: l.0,
             in_flight: l.1,
