Give members their own time-outs: answers, connections, idle ones

Need: answer-ms, connect-ms and idle-ms of imported members were read and had no effect. Change: an attempt ends at the shorter of the pool's and the member's answer-ms; connections take the member's own times; a pool's connections limit counts as an in-flight limit.

--- a/crates/cli/tests/live.rs
+++ b/crates/cli/tests/live.rs
@@ -278,6 +278,25 @@
     assert_eq!(a.count() + b.count(), 10, "one attempt each");
 }
 
+/// A member's own time for an answer, shorter than the request's: the attempt ends, and another is made elsewhere.
+#[test]
+fn an_answer_takes_no_longer_than_its_member_may() {
+    let (a, b, origin) = (Node::start(), Node::start(), Node::start());
+    let site = HEAD.to_string()
+        + &member("a", &a, "{ limits answer-ms=150; }")
+        + &member("b", &b, "{ limits answer-ms=150; }")
+        + &member("o", &origin, "kind=\"origin\"")
+        + "pool \"all\" { use \"a\"; use \"b\"; retry attempts=2; }\nroutes { route \"/\" pool=\"all\"; }\n";
+    let front = Front::start("answer", &site, &[]);
+    let mut client = front.client();
+    [&a, &b].iter().for_each(|n| n.state.delay_ms.store(20_000, Ordering::SeqCst));
+    // The client would wait 4 s, the request's class 5 s, the answer 20 s.
+    assert!(matches!(client.ask("docs", 1), Answer::Error(word, _) if word == "Shed"));
+    let all: Vec<_> = [&a, &b].iter().flat_map(|n| n.after(Instant::now() - PATIENCE)).collect();
+    let limits: Vec<u64> = all.iter().filter_map(|r| r.fields.get("limit")?.parse().ok()).collect();
+    assert!(!limits.is_empty() && limits.iter().all(|ms| *ms <= 150), "{limits:?}");
+}
+
 /// The example that a newcomer starts from; nobody plays its members here, so requests are answered and not served.
 #[test]
 fn the_example_starts_and_ends() {
--- a/crates/front/src/lanes.rs
+++ b/crates/front/src/lanes.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Clock;
 use crate::link::lock;
-use crate::plan::{Known, Plan};
+use crate::plan::{Answers, Known, Plan};
 use crate::upstream::Upstream;
 use crate::Ways;
 use arc_swap::ArcSwap;
@@ -15,7 +15,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// When a request that a pool has no room for may come back, in milliseconds, where clients heed it: as the module's
 /// own hints.
@@ -46,6 +46,7 @@
     /// The decisions.
     pub dispatcher: Dispatcher<Ways>,
     held: Option<Mutex<Held>>,
+    answers: ArcSwap<Answers>,
 }
 
 /// A request's place in a pool; it ends with this.
@@ -85,6 +86,12 @@
         self.lane.feed(&self.clock, Event::Ended { request: self.number, id, end: end(ending) });
     }
 
+    /// When an attempt that begins now ends at the latest, by the pool's and the member's own limits.
+    pub fn deadline(&self, attempt: &Attempt, now: Instant, by: Instant) -> Instant {
+        let most = self.lane.answers.load().most_ms(&attempt.cache.0);
+        most.map_or(by, |ms| by.min(now + Duration::from_millis(ms)))
+    }
+
     /// Whether a further attempt may be made; if so, it is counted.
     pub fn again(&self) -> bool {
         let left = self.lane.feed(&self.clock, Event::Again { request: self.number });
@@ -273,13 +280,14 @@
             from_file: false,
             members: BTreeMap::new(),
             pools: Vec::new(),
+            answers: Vec::new(),
             routes: Routes::of(&fernslip_site::Site::default()),
             shared: 1,
         };
-        let Plan { from_file, members, pools, routes, shared } = plan.unwrap_or(none);
+        let Plan { from_file, members, pools, answers, routes, shared } = plan.unwrap_or(none);
         let n = pools.len();
         let mut lanes = Vec::new();
-        for (i, spec) in pools.into_iter().enumerate() {
+        for (i, (spec, answers)) in pools.into_iter().zip(answers).enumerate() {
             let dispatcher = Dispatcher::new(settings(base, n, i, shared), seed ^ i as u64, ways())?;
             let name = spec.name.clone();
             let mean = mean(&spec);
@@ -288,11 +296,13 @@
                 false => Pool::listed(spec, seed),
             };
             let held = Held { pool, machines: BTreeMap::new(), mean, seats: HashMap::new() };
-            lanes.push(Arc::new(Lane { name, dispatcher, held: Some(Mutex::new(held)) }));
+            let (held, answers) = (Some(Mutex::new(held)), ArcSwap::from_pointee(answers));
+            lanes.push(Arc::new(Lane { name, dispatcher, held, answers }));
         }
         if lanes.is_empty() {
             let dispatcher = Dispatcher::new(base.clone(), seed, ways())?;
-            lanes.push(Arc::new(Lane { name: String::new(), dispatcher, held: None }));
+            let answers = ArcSwap::default();
+            lanes.push(Arc::new(Lane { name: String::new(), dispatcher, held: None, answers }));
         }
         Ok(Lanes {
             table: ArcSwap::from_pointee((routes, (0..n).collect())),
@@ -363,6 +373,7 @@
         self.learn(&members);
         for (id, k) in &members {
             upstream.know(CacheId(id.clone()), k.addr, 0.0);
+            upstream.time(&CacheId(id.clone()), k.timing);
         }
         let sources: Vec<Entry> =
             members.iter().filter(|(_, k)| k.is_source).map(|(id, k)| source(id, k, 0.0)).collect();
@@ -449,7 +460,8 @@
         if let Some(file) = &self.file {
             told = self.members_change(clock, upstream, &mut lock(file), &plan.members);
         }
-        for (spec, place) in plan.pools.into_iter().zip(&places) {
+        for ((spec, answers), place) in plan.pools.into_iter().zip(plan.answers).zip(&places) {
+            self.lanes[*place].answers.store(Arc::new(answers));
             self.lanes[*place].describe(clock, spec);
         }
         if let Some(file) = &self.file {
@@ -495,8 +507,9 @@
             let back = before.is_some_and(|b| b.state == State::Stopped);
             let fresh = before.is_none() || elsewhere || back;
             if before.is_none() || elsewhere {
-                upstream.know(cache, k.addr, now);
+                upstream.know(cache.clone(), k.addr, now);
             }
+            upstream.time(&cache, k.timing);
             if k.is_source {
                 // One that comes, or comes back, may have just started.
                 sources.push(source(id, k, if fresh { now } else { 0.0 }));
--- a/crates/front/src/plan.rs
+++ b/crates/front/src/plan.rs
@@ -3,6 +3,7 @@
 
 use crate::budget::Budget;
 use crate::config::Config;
+use crate::upstream::Timing;
 use fernslip::json::Names;
 use fernslip::{Class, DedupScope, Effect, Neighbours, NoteLevel, Settings};
 use fernslip_pool::{Routes, Spec};
@@ -10,6 +11,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Kinds of machine in settings made of a site document, in the order of their numbers.
 const KINDS: [&str; 3] = ["cache", "parent", "origin"];
@@ -29,12 +31,44 @@
     pub link: f64,
     /// Its share where no pool says otherwise.
     pub weight: f64,
+    /// Its own time-outs.
+    pub timing: Timing,
     /// What the operators want of it.
     pub state: State,
     /// A parent or the origin: every pool fills from it.
     pub is_source: bool,
 }
 
+/// The longest waits for an answer in a pool, in milliseconds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Answers {
+    /// Of every member.
+    pub pool: Option<u64>,
+    /// Of single members.
+    pub members: HashMap<Arc<str>, u64>,
+}
+
+impl Answers {
+    /// How long an answer of that member may take; `None`: as long as the request allows.
+    pub fn most_ms(&self, id: &str) -> Option<u64> {
+        [self.pool, self.members.get(id).copied()].into_iter().flatten().min()
+    }
+
+    fn all(site: &Site) -> Vec<Answers> {
+        let told = site.members.iter().filter_map(|m| Some((m.id.as_str(), m.limits.answer_ms?)));
+        let told: HashMap<&str, u64> = told.collect();
+        let of = |p: &Pool| {
+            let own = |u: &Use| Some((Arc::from(u.member.as_str()), *told.get(u.member.as_str())?));
+            Answers { pool: p.limits.answer_ms, members: p.members.iter().filter_map(own).collect() }
+        };
+        site.pools.iter().map(of).collect()
+    }
+}
+
+fn ms(of: Option<u64>) -> Option<Duration> {
+    of.map(|ms| Duration::from_millis(ms.max(1)))
+}
+
 /// What a front serves from.
 #[derive(Debug)]
 pub struct Plan {
@@ -46,6 +80,8 @@
     pub pools: Vec<Spec>,
     /// The routes; their pools are those above.
     pub routes: Routes,
+    /// By pool: how long an answer may take, of the pool and of its members, where they tell; milliseconds.
+    pub answers: Vec<Answers>,
     /// In how many pools the most used cache is.
     pub shared: u32,
 }
@@ -95,6 +131,7 @@
                 link: m.link_kb_per_s.unwrap_or(fernslip_site::defaults::MEMBER_KB_PER_S)
                     / settings.stream_kb_per_s,
                 weight: m.weight.unwrap_or(1.0),
+                timing: Timing { connect: ms(m.limits.connect_ms), idle: ms(m.limits.idle_ms) },
                 state: m.state,
                 is_source: m.kind.is_some_and(|k| k != Kind::Cache),
             };
@@ -118,6 +155,7 @@
         Ok(Plan {
             from_file,
             shared: uses.values().copied().max().unwrap_or(1),
+            answers: Answers::all(&site),
             pools: Spec::all(&site),
             routes: Routes::of(&site),
             members,
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -91,8 +91,8 @@
                 }
                 place.sent(&a);
                 let sent = Instant::now();
-                let deadline = sent + clock.until(a.until_ms);
-                let line = fields(ask, &a, a.until_ms - clock.now());
+                let deadline = place.deadline(&a, sent, sent + clock.until(a.until_ms));
+                let line = fields(ask, &a, deadline.saturating_duration_since(sent).as_secs_f64() * 1000.0);
                 let end = upstream.run(&a, ask, &line, deadline);
                 place.ended(&a, end.ending);
                 may_have_run |= !end.ending.never_ran();
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -273,6 +273,16 @@
     addr: SocketAddr,
     born_ms: f64,
     conns: Vec<Arc<Conn>>,
+    timing: Timing,
+}
+
+/// A machine's own time-outs; `None`: those of the deployment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Timing {
+    /// A connection that is not up by then was refused.
+    pub connect: Option<Duration>,
+    /// An idle connection is closed before this.
+    pub idle: Option<Duration>,
 }
 
 /// All connections to the machines behind.
@@ -302,12 +312,19 @@
             let mut nodes = lock(&self.nodes);
             match nodes.get(&id) {
                 Some(n) if n.addr == addr && n.born_ms == born_ms => None,
-                _ => nodes.insert(id, Node { addr, born_ms, conns: Vec::new() }),
+                _ => nodes.insert(id, Node { addr, born_ms, conns: Vec::new(), timing: Timing::default() }),
             }
         };
         self.retire(old);
     }
 
+    /// A machine's own time-outs, from its next connection on. One that is not known has none.
+    pub fn time(&self, id: &CacheId, timing: Timing) {
+        if let Some(node) = lock(&self.nodes).get_mut(id) {
+            node.timing = timing;
+        }
+    }
+
     /// A machine has gone; its address may belong to another from now on.
     pub fn drop_node(&self, id: &CacheId) {
         let old = lock(&self.nodes).remove(id);
@@ -399,7 +416,8 @@
         let conn = Arc::new(Conn::default());
         conn.admit(a.id, slot, self.limits.streams);
         node.conns.push(conn.clone());
-        let (dialled, addr, timeout) = (conn.clone(), node.addr, self.limits.connect_timeout);
+        let timeout = node.timing.connect.unwrap_or(self.limits.connect_timeout);
+        let (dialled, addr) = (conn.clone(), node.addr);
         let (name, count) = (a.cache.clone(), self.connections.clone());
         spawn(move || {
             let (why, unwritten) = match TcpStream::connect_timeout(&addr, timeout) {
@@ -425,9 +443,12 @@
     /// send's first byte.
     pub fn sweep(&self) {
         let now = Instant::now();
-        let idle = self.limits.idle.mul_f64(IDLE_PART);
-        let conns: Vec<_> = lock(&self.nodes).values().flat_map(|n| n.conns.clone()).collect();
-        for c in conns {
+        let idle = |n: &Node| n.timing.idle.unwrap_or(self.limits.idle).mul_f64(IDLE_PART);
+        let conns: Vec<_> = lock(&self.nodes)
+            .values()
+            .flat_map(|n| n.conns.iter().map(move |c| (c.clone(), idle(n))))
+            .collect();
+        for (c, idle) in conns {
             for tag in
                 now.checked_sub(self.limits.connect_timeout).map_or(vec![], |t| c.link.retract_older(t))
             {
--- a/crates/pool/src/spec.rs
+++ b/crates/pool/src/spec.rs
@@ -30,7 +30,7 @@
     pub name: String,
     /// Its members, in their order; each id once.
     pub parts: Vec<Part>,
-    /// Requests in it at the same time.
+    /// Requests in it at the same time; its members' connections together count as that too.
     pub in_flight: Option<u64>,
     /// How long a request may wait for a place, in milliseconds.
     pub wait_ms: f64,
@@ -82,7 +82,8 @@
                         })
                     })
                     .collect(),
-                in_flight: p.limits.in_flight,
+                // A connection carries one request at least.
+                in_flight: [p.limits.in_flight, p.limits.connections].into_iter().flatten().min(),
                 wait_ms: p.limits.wait_ms.unwrap_or(0) as f64,
                 waiting: p.limits.waiting.unwrap_or(0) as usize,
                 attempts: p.retry.attempts.unwrap_or(1),
--- a/crates/site/src/check.rs
+++ b/crates/site/src/check.rs
@@ -134,7 +134,7 @@
         }
     }
     let limits = |u: &Use| members.get(u.member.as_str()).is_some_and(|m| m.limits.is_bounded());
-    let bounded = p.limits.in_flight.is_some() || p.members.iter().any(limits);
+    let bounded = p.limits.in_flight.or(p.limits.connections).is_some() || p.members.iter().any(limits);
     if !bounded && (p.limits.wait_ms.is_some() || p.limits.waiting.is_some()) {
         let hint = Some("set in-flight, or leave wait-ms and waiting out".to_string());
         problems.warn(
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -471,7 +471,7 @@
                 u.tier.get_or_insert(0);
             }
             let bounded = |u: &Use| own.get(u.member.as_str()).is_some_and(|m| m.limits.is_bounded());
-            if p.limits.in_flight.is_some() || p.members.iter().any(bounded) {
+            if p.limits.in_flight.or(p.limits.connections).is_some() || p.members.iter().any(bounded) {
                 p.limits.wait_ms.get_or_insert(WAIT_MS);
                 p.limits.waiting.get_or_insert(WAITING);
             }
