Let the module hear of others and bear witness: fewer homes, sooner trials, never out

Need: what fronts say of boxes must reach the decisions, and what answers show must leave the module typed, not as text. Result: with the most that can be said a cache keeps a fifth of its share and nothing is refused; one own failure takes it out instead of two. Without hearsay every decision is as before: all older tests pass unchanged.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -137,6 +137,10 @@
             json!({"cmd": "TELL", "i": i, "whom": "all", "raw": STANDARD.encode(data)})
         }
         Action::Subscribe => json!({"cmd": "STREAM_CHANGES", "i": i, "enable": true}),
+        // Asked for by fronts that gossip; the simulator's have no such way to each other.
+        Action::Evidence { cache, sign, .. } => {
+            json!({"cmd": "SAY_LOG", "i": i, "words": format!("{}: {sign:?}", cache.0)})
+        }
         Action::Log(words) => json!({"cmd": "SAY_LOG", "i": i, "words": words}),
     }
 }
--- a/crates/fernslip/src/api.rs
+++ b/crates/fernslip/src/api.rs
@@ -418,6 +418,13 @@
         /// The bytes.
         data: Vec<u8>,
     },
+    /// What other routers' words on a machine amount to now.
+    Hearsay {
+        /// The machine.
+        cache: CacheId,
+        /// From -1 (well) to 1 (failing); 0: nothing is said.
+        amount: f64,
+    },
     /// An object, or a whole group, was purged.
     Purged {
         /// The object; `None`: all of the group.
@@ -429,6 +436,19 @@
     },
 }
 
+/// What a router's own answers show of a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// It refuses, breaks or answers with errors.
+    Failing,
+    /// It says nothing.
+    Silent,
+    /// It answers, far slower than its fellows.
+    Crawling,
+    /// It answers as it should, after something spoke against it.
+    Well,
+}
+
 /// What the router is to do, in the order given.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -493,4 +513,13 @@
     Subscribe,
     /// A line for the operators.
     Log(String),
+    /// What this router's own answers show, for the others; only after [`crate::Router::bear_witness`].
+    Evidence {
+        /// Of which machine.
+        cache: CacheId,
+        /// What.
+        sign: Sign,
+        /// How sure, from 0 to 1.
+        strength: f64,
+    },
 }
--- a/crates/fernslip/src/facade.rs
+++ b/crates/fernslip/src/facade.rs
@@ -82,6 +82,8 @@
     fn tell_all(&self, data: &[u8]);
     /// A line for the operators.
     fn log(&self, line: &str);
+    /// What this front's own answers show of a machine, for other fronts; after [`Dispatcher::bear_witness`].
+    fn evidence(&self, _cache: &CacheId, _sign: Sign, _strength: f64) {}
 }
 
 /// A place to wait in, of the front's own kind of thread.
@@ -192,6 +194,7 @@
     Tell(u32, Vec<u8>),
     TellAll(Vec<u8>),
     Log(String),
+    Evidence(CacheId, Sign, f64),
 }
 
 /// The decisions of one router, for callers that wait for them.
@@ -313,6 +316,16 @@
         self.feed(now_ms, Event::Purged { object, group, age_ms });
     }
 
+    /// What other fronts' words on a machine amount to, from -1 (well) to 1 (failing).
+    pub fn hearsay(&self, now_ms: f64, cache: CacheId, amount: f64) {
+        self.feed(now_ms, Event::Hearsay { cache, amount });
+    }
+
+    /// From now on the host is told what answers show of machines.
+    pub fn bear_witness(&self) {
+        self.lock().router.bear_witness();
+    }
+
     /// A message of a peer.
     pub fn heard(&self, now_ms: f64, from: u32, data: Vec<u8>) {
         self.feed(now_ms, Event::Peer { from, data });
@@ -340,6 +353,7 @@
                 Effect::Tell(to, data) => self.host.tell(to, &data),
                 Effect::TellAll(data) => self.host.tell_all(&data),
                 Effect::Log(line) => self.host.log(&line),
+                Effect::Evidence(cache, sign, strength) => self.host.evidence(&cache, sign, strength),
             }
         }
     }
@@ -400,6 +414,9 @@
             Action::Tell { to, data } => effects.push(Effect::Tell(to, data)),
             Action::TellAll { data } => effects.push(Effect::TellAll(data)),
             Action::Log(line) => effects.push(Effect::Log(line)),
+            Action::Evidence { cache, sign, strength } => {
+                effects.push(Effect::Evidence(cache, sign, strength))
+            }
             // Fronts that use this facade are sent the list's changes without asking.
             Action::Subscribe => {}
         }
--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -28,6 +28,9 @@
 /// An outlier fails this many times as often as its fellows do; when all fail, none is to blame.
 const OUTLIER: f64 = 2.0;
 const EJECT_PART: f64 = 0.4; // of a group at the most, lest the rest drown
+const SAID_MOST: f64 = 0.8; // of its homes, what hearsay takes from a cache at the most
+const SURE_FROM: f64 = 0.1; // share of failures, from which it is evidence for others: more than one failure
+const SILENCE_SURE: f64 = 0.8; // how sure silence is as evidence, and a crawl
 const SAME_FAILURE_MS: f64 = 5.0; // a broken connection ends all attempts on it: one failure
 const FIRST_TRIAL_MS: f64 = 600.0; // from ejection to the first trial
 const TRIAL_GAP_MS: f64 = 250.0; // between trials: four a second
@@ -117,6 +120,8 @@
     filter: Filter,
     changes: Vec<Change>,
     bad: f64,
+    /// What others say of it: below 0 well, above 0 failing.
+    said: f64,
     ejected: bool,
     next_trial: f64,
     open: Share,
@@ -237,6 +242,7 @@
     mates: BTreeSet<u32>,
     retries: f64,
     mean_ms: Vec<f64>,
+    witness: bool,
 }
 
 fn mix(mut x: u64) -> u64 {
@@ -279,6 +285,7 @@
             mates: BTreeSet::new(),
             retries: RETRIES_SAVED,
             mean_ms: vec![0.0; n],
+            witness: false,
         })
     }
 
@@ -295,6 +302,7 @@
             Event::Withdrawn { id } => self.withdrawn(id, actions),
             Event::Purged { object, group, age_ms } => self.purged(object, group, age_ms),
             Event::Peer { from, data } => self.heard(from, &data, actions),
+            Event::Hearsay { cache, amount } => self.hearsay(&cache, amount),
             Event::Timer { .. } => self.watch(actions),
             Event::Opened { .. } | Event::Probed { .. } => {}
         }
@@ -362,7 +370,7 @@
                 c.born = c.born.max(e.born_ms);
                 c.filter.clear();
                 c.changes.clear();
-                (c.bad, c.ejected, c.quiet_by, c.pace) = (0.0, false, None, 1.0);
+                (c.bad, c.said, c.ejected, c.quiet_by, c.pace) = (0.0, 0.0, false, None, 1.0);
             }
             (c.role, c.zone, c.cell, c.phase) = (role, e.zone, e.cell, e.phase);
             c.told = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
@@ -533,7 +541,8 @@
         // Home is the first in hash order; a cold cache's weight grows as it warms: it takes only its part.
         let place = word(req.key);
         let own = self.caches.iter().filter(|(_, c)| c.role == Role::Edge && c.phase == Phase::In);
-        let mut scored: Vec<_> = own.map(|o| (score(o.1.tag, place, self.gives(o.1)), o)).collect();
+        let share = |c: &Cache| self.gives(c) * (1.0 - c.said.max(0.0));
+        let mut scored: Vec<_> = own.map(|o| (score(o.1.tag, place, share(o.1)), o)).collect();
         scored.sort_by(|a, b| b.0.total_cmp(&a.0));
         let order: Vec<(&CacheId, &Cache)> = scored.into_iter().map(|s| s.1).collect();
         let sendable = order.iter().copied().filter(|(_, c)| self.may_send(req, c));
@@ -713,6 +722,7 @@
         let source = a.source.clone();
         // A fill through a cache that crawls says nothing of its source, nor of the links.
         let crawls = self.caches.get(&cache).is_some_and(|c| self.is_slow(c));
+        self.testify(&cache, Sign::Crawling, if crawls { SILENCE_SURE } else { 0.0 }, out);
         let slow = crawls || self.caches.get(&source).is_some_and(|c| self.is_slow(c));
         let hit = o.detail == 1 && o.ending == Ending::Completed;
         if hit || way == Way::Fill && matches!(o.ending, Ending::Completed | Ending::Overdue) {
@@ -840,6 +850,26 @@
         }
     }
 
+    /// Hears of others: fewer homes and fewer failures until trials only, or a trial at once. Never more.
+    fn hearsay(&mut self, id: &CacheId, amount: f64) {
+        let Some(c) = self.caches.get_mut(id).filter(|_| amount.is_finite()) else { return };
+        c.said = amount.clamp(-SAID_MOST, SAID_MOST);
+        if c.said < 0.0 {
+            c.next_trial = c.next_trial.min(self.now);
+        }
+    }
+
+    /// From now on tells what its answers show of machines, for other routers.
+    pub fn bear_witness(&mut self) {
+        self.witness = true;
+    }
+
+    fn testify(&self, cache: &CacheId, sign: Sign, strength: f64, out: &mut Vec<Action>) {
+        if self.witness && strength > 0.0 {
+            out.push(Action::Evidence { cache: cache.clone(), sign, strength: strength.min(1.0) });
+        }
+    }
+
     /// One piece of evidence on a machine: 0 good, 1 a failure of its own, between: perhaps its own.
     fn verdict(&mut self, id: &CacheId, blame: f64, out: &mut Vec<Action>) {
         let Some(c) = self.caches.get(id) else { return };
@@ -852,7 +882,7 @@
             c.blamed = now;
             c.bad += (HEALTH_STEP * blame).min(1.0) * (1.0 - c.bad);
             if !c.ejected
-                && c.bad > EJECT_ABOVE
+                && c.bad > EJECT_ABOVE * (1.0 - c.said.max(0.0))
                 && c.bad > OUTLIER * mean
                 && out_of_use < (n + 1.0) * EJECT_PART
             {
@@ -867,6 +897,10 @@
                 out.push(Action::Log(format!("{} answers again: back in use", id.0)));
             }
         }
+        let (against, spoken) = (blame > 0.0, c.said != 0.0 || c.bad > SURE_FROM);
+        let sure = if against { (c.bad - SURE_FROM) / EJECT_ABOVE } else { 1.0 - c.bad };
+        let sign = if against { Sign::Failing } else { Sign::Well };
+        self.testify(id, sign, if against || spoken { sure } else { 0.0 }, out);
     }
 
     /// Calls off what waits at a silent cache, so that it can be tried elsewhere while there is time. Guards
@@ -878,6 +912,7 @@
             return;
         }
         out.push(Action::Timer { delay_ms: WATCH_MS, token: 0 });
+        let mut silent = BTreeSet::new();
         for (&id, req) in self.reqs.iter_mut().filter(|(_, r)| !r.done) {
             let idem = self.set.classes[req.ask.class].effect == Effect::Idempotent;
             let least = SILENT_MS * TRIAL_PART + req.work_ms;
@@ -888,9 +923,11 @@
                     (a.called_off, c.next_trial) = (true, self.now + TRIAL_GAP_MS);
                     req.failed.insert(a.cache.clone());
                     out.push(Action::Cancel { id, attempt: n as u32 });
+                    silent.insert(a.cache.clone());
                 }
             }
         }
+        silent.iter().for_each(|id| self.testify(id, Sign::Silent, SILENCE_SURE, out));
     }
 
     fn withdrawn(&mut self, id: RequestId, out: &mut Vec<Action>) {
