Put gossip into the front: evidence out, hearsay in, keys, a local socket for status

Need: the gossip crate has no sockets, and the module's evidence and hearsay had nobody to pass them. Change: site document section gossip; the front's skin on UDP with the module's evidence queued out of its decisions; key files checked by owner and mode, made and rotated by fernslip keys; fernslip gossip status by a local socket. Off unless the document has the section, so that the platform's path is untouched.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -57,6 +57,16 @@
         #[command(subcommand)]
         from: Import,
     },
+    /// Ask a running front about its gossip.
+    Gossip {
+        #[command(subcommand)]
+        what: Gossip,
+    },
+    /// Make, rotate or show the keys that gossip is signed with.
+    Keys {
+        #[command(subcommand)]
+        what: Keys,
+    },
     /// Write a shell's completions to standard output.
     Completions {
         /// For which shell.
@@ -106,6 +116,47 @@
     },
 }
 
+#[derive(Debug, Subcommand)]
+pub enum Gossip {
+    /// Members, words, trust, hearsay and bytes.
+    Status {
+        /// The front's local socket, as `gossip control=` names it.
+        socket: PathBuf,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Keys {
+    /// Make a file with one new key; one that is there is left alone.
+    New {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Take one step of a rotation: on every front, with SIGHUP to each, before the next.
+    Rotate {
+        /// The file.
+        file: PathBuf,
+        /// Which step.
+        #[arg(long, value_enum)]
+        step: Step,
+    },
+    /// Show the numbers of the keys, not the keys.
+    Show {
+        /// The file.
+        file: PathBuf,
+    },
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum Step {
+    /// A new key is accepted; the old one signs. Copy the file to the other fronts.
+    Add,
+    /// The new key signs; the old one is accepted.
+    Switch,
+    /// The old key is dropped.
+    Drop,
+}
+
 #[derive(Debug, ClapArgs)]
 pub struct Out {
     /// Where the site document goes; without it to standard output.
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,17 +1,22 @@
 //! What the sub-commands do. 0: done; 1: failed; 2: usage (clap's own); 3: `--strict` and something was left out.
 
-use crate::args::{Args, Command, Import, LogFormat, LogLevel, Out, Run, ShowFormat};
+use crate::args::{Args, Command, Gossip, Import, Keys, LogFormat, LogLevel, Out, Run, ShowFormat, Step};
 use crate::files::write_all;
 use clap::CommandFactory;
+use fernslip_front::keyfile;
 use fernslip_front::log::{install, Format};
 use fernslip_front::Start;
 use fernslip_import::{Disk, ImportError, Imported, Options, Verdict};
 use fernslip_site::{Read, Site};
-use std::io::{self, Write};
+use std::io::{self, Read as _, Write};
+use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 use tracing::level_filters::LevelFilter;
 
+/// A front answers its operators within this time.
+const STATUS: Duration = Duration::from_secs(5);
 /// `--strict`, and something was left out.
 const LEFT_OUT: u8 = 3;
 
@@ -45,6 +50,11 @@
             Err(why) => failed(why),
         },
         Some(Command::Import { from }) => import(from),
+        Some(Command::Gossip { what: Gossip::Status { socket } }) => match status(&socket) {
+            Ok(text) => say(&text),
+            Err(why) => failed(format!("{}: {why}", socket.display())),
+        },
+        Some(Command::Keys { what }) => keys(&what),
         Some(Command::Completions { shell }) => {
             let mut text = Vec::new();
             clap_complete::generate(shell, &mut Args::command(), "fernslip", &mut text);
@@ -80,6 +90,37 @@
     }
 }
 
+/// What a running front says at its local socket.
+fn status(socket: &Path) -> io::Result<String> {
+    let mut front = UnixStream::connect(socket)?;
+    front.set_read_timeout(Some(STATUS))?;
+    let mut text = String::new();
+    front.read_to_string(&mut text)?;
+    Ok(text)
+}
+
+fn keys(what: &Keys) -> ExitCode {
+    let (file, done) = match what {
+        Keys::New { file } => (file, keyfile::create(file)),
+        Keys::Rotate { file, step } => {
+            let step = match step {
+                Step::Add => keyfile::Step::Add,
+                Step::Switch => keyfile::Step::Switch,
+                Step::Drop => keyfile::Step::Drop,
+            };
+            (file, keyfile::rotate(file, step))
+        }
+        Keys::Show { file } => (file, keyfile::read(file)),
+    };
+    match done {
+        Ok(ring) => {
+            let all: Vec<String> = ring.accepts().iter().map(u8::to_string).collect();
+            say(&format!("signs {}, accepts {}\n", ring.signs(), all.join(" and ")))
+        }
+        Err(why) => failed(format!("{}: {why}", file.display())),
+    }
+}
+
 fn read(file: &Path) -> Result<Read, String> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
--- a/crates/front/src/bus.rs
+++ b/crates/front/src/bus.rs
@@ -97,6 +97,13 @@
         Event::List { .. } if front.lanes.from_file() => {}
         Event::List { full, servers } => {
             let mut entries = Vec::new();
+            if let Some(talk) = &front.talk {
+                // Starts in Unix time: all fronts must name a machine by the same.
+                let news = servers
+                    .iter()
+                    .map(|(e, _)| (e.cache.clone(), Some(e.born_ms).filter(|_| e.phase != Phase::Out)));
+                talk.news(front.lanes.all(), full, news.collect());
+            }
             for (mut e, addr) in servers {
                 e.born_ms = clock.born(e.born_ms);
                 match (e.phase, addr) {
--- a/crates/front/src/lanes.rs
+++ b/crates/front/src/lanes.rs
@@ -323,6 +323,11 @@
         &self.lanes
     }
 
+    /// The document's members, where they are served from.
+    pub fn members(&self) -> Option<Vec<CacheId>> {
+        self.file.as_ref().map(|f| lock(f).keys().map(|id| CacheId(id.clone())).collect())
+    }
+
     /// Whether the members are the document's.
     pub fn from_file(&self) -> bool {
         self.file.is_some()
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod call;
 pub mod clock;
 pub mod config;
+pub mod gossip;
+pub mod keyfile;
 pub mod lanes;
 pub mod link;
 pub mod log;
@@ -28,9 +30,10 @@
 use config::{Config, ConfigError};
 use fernslip::facade::{Host, Waiter};
 use fernslip::json::Names;
-use fernslip::{Effect, Entry, RequestId};
+use fernslip::{CacheId, Effect, Entry, RequestId, Sign};
 use fernslip_pool::Machine;
 use fernslip_site::Site;
+use gossip::Talk;
 use lanes::{Lanes, Machines};
 use may::net::TcpListener;
 use may::sync::Blocker;
@@ -60,6 +63,8 @@
     pub config: Config,
     /// What its site document says, if it has one.
     pub plan: Option<Plan>,
+    /// How it gossips, if it does.
+    pub gossip: Option<gossip::Plan>,
     site: Option<PathBuf>,
 }
 
@@ -87,7 +92,11 @@
             Some(d) => Some(Plan::of(d, &config.names, &config.settings).map_err(ConfigError::Plan)?),
             None => None,
         };
-        Ok(Start { config, plan, site })
+        let gossip = match document.as_ref().and_then(|d| d.effective().gossip) {
+            Some(g) => Some(plan::gossip(&g, &config.name).map_err(ConfigError::Plan)?),
+            None => None,
+        };
+        Ok(Start { config, plan, gossip, site })
     }
 }
 
@@ -97,6 +106,7 @@
     peers: Option<Arc<Peers>>,
     machines: Arc<Machines>,
     effects: Arc<[Effect]>,
+    evidence: gossip::Evidence,
     sources: [Option<usize>; 2],
 }
 
@@ -138,6 +148,10 @@
         }
     }
 
+    fn evidence(&self, cache: &CacheId, sign: Sign, strength: f64) {
+        self.evidence.push(cache, sign, strength);
+    }
+
     fn log(&self, line: &str) {
         tracing::info!("module: {line}");
     }
@@ -155,6 +169,8 @@
     pub upstream: Arc<Upstream>,
     /// The clients.
     pub server: server::Server,
+    /// Gossip with other fronts, where there is any.
+    pub talk: Option<Arc<Talk>>,
     /// The event bus.
     pub bus: Bus,
     /// The list of machines is held.
@@ -163,6 +179,13 @@
 }
 
 impl Shared {
+    /// Tells the gossip which machines there are, where the document has them.
+    fn tell_members(&self) {
+        if let (Some(talk), Some(members)) = (&self.talk, self.lanes.members()) {
+            talk.news(self.lanes.all(), true, members.into_iter().map(|id| (id, Some(0.0))).collect());
+        }
+    }
+
     /// Whether new clients are welcome.
     pub fn is_well(&self) -> bool {
         self.listed.load(Ordering::Acquire) && !self.leaving.load(Ordering::Acquire)
@@ -178,6 +201,8 @@
     Bind(std::net::SocketAddr, std::io::Error),
     /// A signal cannot be caught.
     Signal(std::io::Error),
+    /// The local socket for operators cannot be had.
+    Control(PathBuf, std::io::Error),
 }
 
 impl std::fmt::Display for StartError {
@@ -186,6 +211,7 @@
             StartError::Settings(e) => write!(f, "configuration: {e}"),
             StartError::Bind(at, e) => write!(f, "cannot listen on {at}: {e}"),
             StartError::Signal(e) => write!(f, "cannot catch signals: {e}"),
+            StartError::Control(path, e) => write!(f, "cannot answer at {}: {e}", path.display()),
         }
     }
 }
@@ -194,7 +220,7 @@
 
 /// Starts a front and serves until SIGTERM, and then until all that came is answered.
 pub fn start(start: Start) -> Result<(), StartError> {
-    let Start { config, plan, site } = start;
+    let Start { config, plan, gossip, site } = start;
     may::config().set_workers(WORKERS).set_stack_size(STACK_WORDS);
     let clock = Clock::start();
     let leave = Arc::new(AtomicBool::new(false));
@@ -220,11 +246,27 @@
     let machines = Arc::new(Machines::default());
     let effects: Arc<[Effect]> = config.settings.classes.iter().map(|c| c.effect).collect();
     let sources = [config.settings.parent_kind, config.settings.origin_kind];
+    let evidence = gossip::Evidence::default();
+    let talk = match &gossip {
+        Some(g) => {
+            let at = g.config.addr;
+            let t =
+                Talk::bind(g, &clock, config.seed, evidence.clone()).map_err(|e| StartError::Bind(at, e))?;
+            let t = Arc::new(t);
+            if let Some(path) = &g.control {
+                t.answer_at(path).map_err(|e| StartError::Control(path.clone(), e))?;
+            }
+            tracing::info!("gossip at {}", t.addr());
+            Some(t)
+        }
+        None => None,
+    };
     let ways = || Ways {
         upstream: upstream.clone(),
         peers: peers.clone(),
         machines: machines.clone(),
         effects: effects.clone(),
+        evidence: evidence.clone(),
         sources,
     };
     // The longest that a client waits, and a little to write the last answer.
@@ -236,6 +278,7 @@
         clock,
         names: config.names,
         lanes,
+        talk: talk.clone(),
         upstream,
         server: server::Server::new(budget, classes),
         bus: Bus::new(config.bus),
@@ -243,6 +286,10 @@
         leaving: AtomicBool::new(false),
     });
     front.lanes.begin(&front.clock, &front.upstream);
+    front.tell_members();
+    if talk.is_some() {
+        front.lanes.all().iter().for_each(|l| l.dispatcher.bear_witness());
+    }
     if front.lanes.from_file() {
         front.listed.store(true, Ordering::Release);
     }
@@ -252,6 +299,12 @@
             Err(e) => tracing::warn!("known: {e}"),
         }
     }
+    if let Some(talk) = talk {
+        let (t, f) = (talk.clone(), front.clone());
+        spawn(move || t.listen(f.lanes.all()));
+        let f = front.clone();
+        spawn(move || talk.run(f.lanes.all()));
+    }
     if config.bus.is_some() {
         let f = front.clone();
         spawn_deep(move || f.bus.run(&f, config.offset));
@@ -283,9 +336,15 @@
         tracing::info!("reload: bus={bus}; what else is new in the configuration takes a restart");
         front.bus.move_to(bus);
     }
+    if let (Some(talk), Some(g)) = (&front.talk, new.gossip) {
+        talk.rekey(g.keys);
+    }
     if let Some(plan) = new.plan {
         match front.lanes.take_up(&front.clock, &front.upstream, plan) {
-            Ok(told) => tracing::info!("reload: site: {told}"),
+            Ok(told) => {
+                front.tell_members();
+                tracing::info!("reload: site: {told}");
+            }
             Err(why) => tracing::warn!("reload: the old site stays: {why}"),
         }
     }
@@ -315,6 +374,9 @@
         if left.is_none() && leave.load(Ordering::Acquire) {
             front.leaving.store(true, Ordering::Release);
             tracing::info!("leaving: SIGTERM");
+            if let Some(talk) = &front.talk {
+                talk.leave(front.lanes.all());
+            }
             left = Some(Instant::now());
         }
         if ending {
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -170,6 +170,9 @@
     pub pools: Vec<Pool>,
     /// Which requests go to which pool; a set for each group of virtual hosts.
     pub routes: Vec<RouteSet>,
+    /// How fronts share suspicions; left out: not at all.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub gossip: Option<Gossip>,
 }
 
 impl Default for Site {
@@ -183,10 +186,32 @@
             members: Vec::new(),
             pools: Vec::new(),
             routes: Vec::new(),
+            gossip: None,
         }
     }
 }
 
+/// Gossip among fronts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Gossip {
+    /// Where datagrams come in, and come from: an IP address and a port.
+    pub listen: String,
+    /// The file with the keys.
+    pub key_file: String,
+    /// The local socket for `fernslip gossip status`.
+    pub control: Option<String>,
+    /// Fronts to begin with: IP addresses and ports.
+    pub seeds: Vec<String>,
+    /// Names of all fronts that may take part; none: whoever has the key.
+    pub fronts: Vec<String>,
+    /// Bytes of datagrams a second.
+    pub bytes_per_s: Option<u64>,
+    /// Bytes that may be saved up.
+    pub burst_bytes: Option<u64>,
+    /// How far others' clocks may be off.
+    pub skew_ms: Option<u64>,
+}
+
 /// One front's own settings.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Front {
@@ -425,6 +450,12 @@
     pub const MOST_MS: u64 = 60_000;
     /// `limits wait-ms` of a pool with an `in-flight` limit: longer than most answers, far shorter than clients wait.
     pub const WAIT_MS: u64 = 200;
+    /// `gossip bytes-per-s`: a word reaches 200 fronts within four seconds.
+    pub const BYTES_PER_S: u64 = 4096;
+    /// `gossip burst-bytes`.
+    pub const BURST_BYTES: u64 = 4096;
+    /// `gossip skew-ms`: clocks that nobody keeps are off by seconds.
+    pub const SKEW_MS: u64 = 30_000;
     /// `limits waiting` of a pool with an `in-flight` limit.
     pub const WAITING: u64 = 256;
 }
@@ -484,6 +515,11 @@
                 *p.recovery.first_ms.get_or_insert(p.recovery.most_ms.unwrap_or(FIRST_MS).min(FIRST_MS));
             p.recovery.most_ms.get_or_insert(MOST_MS.max(first));
         }
+        if let Some(g) = &mut s.gossip {
+            g.bytes_per_s.get_or_insert(BYTES_PER_S);
+            g.burst_bytes.get_or_insert(BURST_BYTES);
+            g.skew_ms.get_or_insert(SKEW_MS);
+        }
         for r in &mut s.routes {
             r.order.get_or_insert(Order::First);
             r.inherit.get_or_insert(false);
--- a/crates/site/src/print.rs
+++ b/crates/site/src/print.rs
@@ -141,6 +141,19 @@
         self.members.iter().for_each(|m| member(&mut o, m));
         self.pools.iter().for_each(|p| pool(&mut o, p));
         self.routes.iter().for_each(|r| routes(&mut o, r));
+        if let Some(g) = &self.gossip {
+            Line::new(&mut o, 0, "gossip")
+                .text("listen", Some(&g.listen))
+                .text("key-file", Some(&g.key_file))
+                .text("control", g.control.as_deref())
+                .whole("bytes-per-s", g.bytes_per_s)
+                .whole("burst-bytes", g.burst_bytes)
+                .whole("skew-ms", g.skew_ms)
+                .open();
+            g.seeds.iter().for_each(|s| Line::new(&mut o, 1, "seed").arg(s).end());
+            g.fronts.iter().for_each(|n| Line::new(&mut o, 1, "front").arg(n).end());
+            o.push_str("}\n");
+        }
         o
     }
 
--- a/crates/site/src/read.rs
+++ b/crates/site/src/read.rs
@@ -91,14 +91,14 @@
     }
 }
 
-const TOP: [&str; 7] = ["site", "front", "zone", "class", "member", "pool", "routes"];
+const TOP: [&str; 8] = ["site", "front", "zone", "class", "member", "pool", "routes", "gossip"];
 
 fn document(doc: &KdlDocument, problems: &mut Problems<'_>) -> (Site, Places) {
     let (mut site, mut places) = (Site::default(), Places::default());
     let mut seen: HashMap<&str, SourceSpan> = HashMap::new();
     for node in known(doc, "a site", &TOP, problems) {
         let label = node.name().value();
-        if matches!(label, "site" | "front") && seen.insert(label, name_span(node)).is_some() {
+        if matches!(label, "site" | "front" | "gossip") && seen.insert(label, name_span(node)).is_some() {
             problems.error(name_span(node), format!("`{label}` is there twice"), None);
         }
         let mut f = Fields::new(node, problems);
@@ -143,6 +143,7 @@
                 f.done();
                 site.classes.push(class);
             }
+            "gossip" => site.gossip = Some(gossip(f)),
             "member" => member(f, &mut site, &mut places),
             "pool" => pool(f, &mut site, &mut places),
             _ => routes(f, &mut site, &mut places),
@@ -162,6 +163,45 @@
     name.to_string()
 }
 
+fn gossip(mut f: Fields<'_, '_, '_>) -> Gossip {
+    let listen = f.text("listen");
+    let listen = f.needed("listen", listen);
+    address(&mut f, listen);
+    let key_file = f.owned("key-file");
+    let mut g = Gossip {
+        listen: listen.map_or(String::new(), |l| l.0.into()),
+        key_file: f.needed("key-file", key_file).unwrap_or_default(),
+        control: f.owned("control"),
+        seeds: Vec::new(),
+        fronts: Vec::new(),
+        // Under this a probe and its answer would not go through.
+        bytes_per_s: f.whole("bytes-per-s", 512..=1 << 30),
+        burst_bytes: f.whole("burst-bytes", 1024..=1 << 30),
+        skew_ms: f.ms("skew-ms"),
+    };
+    for node in f.children(&["seed", "front"]) {
+        let mut f = Fields::new(node, f.problems);
+        if node.name().value() == "seed" {
+            for seed in f.args("an address") {
+                address(&mut f, Some(seed));
+                g.seeds.push(seed.0.into());
+            }
+        } else {
+            g.fronts.extend(f.args("a front's name").iter().map(|n| n.0.to_string()));
+        }
+        f.done();
+    }
+    f.done();
+    g
+}
+
+/// Datagrams go to addresses; a front looks no names up.
+fn address(f: &mut Fields<'_, '_, '_>, text: Option<(&str, SourceSpan)>) {
+    if let Some((text, span)) = text.filter(|t| t.0.parse::<std::net::SocketAddr>().is_err()) {
+        f.problems.error(span, format!("`{text}` is no IP address and port"), None);
+    }
+}
+
 fn class(f: &mut Fields<'_, '_, '_>, name: String) -> Class {
     let aim = f.ms("aim-ms");
     let deadline = f.ms("deadline-ms");
--- a/crates/site/tests/mistakes.rs
+++ b/crates/site/tests/mistakes.rs
@@ -28,6 +28,7 @@
     host 5
 }
 routes { }
+gossip listen="here" bytes-per-s=1 { seed "b.example:1"; front 3; peer "x"; }
 "#;
     insta::assert_snapshot!(Site::parse("site.kdl", text).unwrap_err().to_string());
 }
--- a/crates/site/tests/properties.rs
+++ b/crates/site/tests/properties.rs
@@ -121,6 +121,16 @@
                 members: members.clone(),
                 pools: vec![p],
                 routes: vec![routes.clone()],
+                gossip: (!name.is_empty()).then(|| Gossip {
+                    listen: "127.0.0.1:1".into(),
+                    key_file: name.clone(),
+                    control: Some(name.clone()),
+                    seeds: vec!["[::1]:2".into()],
+                    fronts: vec![name.clone(); 2],
+                    bytes_per_s: Some(512),
+                    burst_bytes: None,
+                    skew_ms: Some(0),
+                }),
             })
         },
     )
