Test gossiping fronts over sockets: a dead box, a lying peer, keys rotated while they talk

Need: the skin of gossip must be shown with real fronts, stand-in boxes and a peer that holds the key and lies. Result: a front that was sent nothing hears of a box that three see fail, and still serves 40 of 40; a liar moves no front's hearsay at any look and the accused box keeps its homes; three rotation steps on three fronts refuse nothing.

--- /dev/null
+++ b/crates/cli/tests/gossip.rs
@@ -0,0 +1,257 @@
+//! Fronts that gossip, over sockets: real fronts, stand-in boxes, a peer that lies, keys rotated under load.
+
+mod common;
+
+use common::{Answer, Front, Node, PATIENCE};
+use fernslip_gossip::{Action, BoxKey, Config, Event, Gossip, Keyring, Kind, Now};
+use std::net::{SocketAddr, UdpSocket};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+fn folder(name: &str) -> PathBuf {
+    let dir = std::env::temp_dir().join(format!("fernslip-gossip-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&dir);
+    std::fs::create_dir_all(&dir).expect("a folder");
+    dir
+}
+
+fn fernslip(args: &[&str]) -> (Option<i32>, String) {
+    let out = Command::new(env!("CARGO_BIN_EXE_fernslip")).args(args).output().expect("the program");
+    let text = [out.stdout, out.stderr].concat();
+    (out.status.code(), String::from_utf8_lossy(&text).into_owned())
+}
+
+fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
+    let by = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < by, "never: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A front that gossips, and its files.
+struct Peer {
+    front: Front,
+    at: SocketAddr,
+    socket: String,
+    keys: PathBuf,
+}
+
+impl Peer {
+    /// With a copy of the keys; the first front is the others' seed.
+    fn start(dir: &Path, n: usize, boxes: &[&Node], seed: Option<SocketAddr>) -> Peer {
+        let keys = dir.join(format!("keys-{n}"));
+        std::fs::copy(dir.join("keys"), &keys).expect("a copy");
+        let socket = dir.join(format!("n{n}.sock")).display().to_string();
+        let mut site = format!(
+            "site \"g\" members-from=\"file\"\nfront \"n{n}\" listen=\"127.0.0.1:0\"\n\
+             class \"docs\" aim-ms=600 deadline-ms=5000\n\
+             gossip listen=\"127.0.0.1:0\" key-file={:?} control={socket:?} {{ {} }}\n",
+            keys.display().to_string(),
+            seed.map_or(String::new(), |s| format!("seed \"{s}\""))
+        );
+        for (i, b) in boxes.iter().enumerate() {
+            let kind = if i + 1 == boxes.len() { "kind=\"origin\"" } else { "" };
+            site += &format!("member \"box-{i}\" address=\"{}\" {kind}\n", b.addr);
+        }
+        let name = format!("{}-{n}", dir.file_name().and_then(|n| n.to_str()).expect("a name"));
+        let front = Front::start(&name, &site, &[]);
+        let line = front.seen.iter().find(|l| l.contains("gossip at ")).expect("it tells where it gossips");
+        let at = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+        Peer { front, at, socket, keys }
+    }
+
+    fn status(&self) -> String {
+        let (code, text) = fernslip(&["gossip", "status", &self.socket]);
+        assert_eq!(code, Some(0), "{text}");
+        text
+    }
+
+    fn knows(&self, fronts: usize) -> bool {
+        self.status().lines().filter(|l| l.starts_with("member ") && l.contains(" alive ")).count() == fronts
+    }
+
+    fn hearsay(&self, id: &str) -> f64 {
+        let status = self.status();
+        let line = status.lines().find(|l| l.starts_with(&format!("hearsay {id} ")));
+        line.and_then(|l| l.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
+    }
+}
+
+fn new_keys(dir: &Path) -> String {
+    let file = dir.join("keys").display().to_string();
+    let (code, text) = fernslip(&["keys", "new", &file]);
+    assert_eq!((code, text.as_str()), (Some(0), "signs 1, accepts 1\n"));
+    file
+}
+
+/// Fronts n0 to n2 see a box fail; n3, which was sent nothing, hears of it, and still does not refuse or eject.
+#[test]
+fn a_front_that_sees_little_hears_of_a_box_that_fails() {
+    let dir = folder("hears");
+    new_keys(&dir);
+    let nodes: Vec<Node> = (0..5).map(|_| Node::start()).collect();
+    let boxes: Vec<&Node> = nodes.iter().collect();
+    let first = Peer::start(&dir, 0, &boxes, None);
+    let seed = Some(first.at);
+    let mut peers = vec![first];
+    peers.extend((1..4).map(|n| Peer::start(&dir, n, &boxes, seed)));
+    wait_for("four fronts that know each other", || peers.iter().all(|p| p.knows(4)));
+    nodes[1].state.dead.store(true, Ordering::SeqCst);
+    let mut object = 0;
+    wait_for("hearsay at the front that saw nothing", || {
+        for p in &peers[..3] {
+            let mut client = p.front.client();
+            for _ in 0..20 {
+                object += 1;
+                client.ask("docs", object);
+            }
+        }
+        peers[3].hearsay("box-1") > 0.2
+    });
+    assert!(["box-0", "box-2", "box-3"].iter().all(|b| peers[3].hearsay(b) <= 0.0), "{}", peers[3].status());
+    // Hearsay alone refuses nothing.
+    let mut client = peers[3].front.client();
+    let served = (0..40).filter(|n| client.ask("docs", 1_000_000 + n) == Answer::Served).count();
+    assert_eq!(served, 40);
+    for p in &peers {
+        let status = p.status();
+        let bytes = status.lines().find_map(|l| l.strip_prefix("sent ")?.split("bytes=").nth(1));
+        let bytes: u64 = bytes.and_then(|b| b.split(' ').next()?.parse().ok()).expect("a count");
+        // The bucket: what was saved up, and its rate for as long as this test can have run.
+        assert!(bytes <= 4096 + 4096 * 2 * PATIENCE.as_secs(), "{status}");
+    }
+    let _ = std::fs::remove_dir_all(dir);
+}
+
+/// A peer with the key that accuses a healthy box without end: no front lowers its share for it at any look.
+#[test]
+fn a_lying_peer_takes_no_healthy_box_out() {
+    let dir = folder("liar");
+    let keys = new_keys(&dir);
+    let nodes: Vec<Node> = (0..4).map(|_| Node::start()).collect();
+    let boxes: Vec<&Node> = nodes.iter().collect();
+    let first = Peer::start(&dir, 0, &boxes, None);
+    let seed = first.at;
+    let peers = [first, Peer::start(&dir, 1, &boxes, Some(seed)), Peer::start(&dir, 2, &boxes, Some(seed))];
+    let ring = ring(Path::new(&keys));
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    socket.set_read_timeout(Some(Duration::from_millis(5))).expect("a socket option");
+    let addr = socket.local_addr().expect("bound");
+    let config = Config { name: "liar".into(), addr, seeds: vec![seed], ..Config::default() };
+    let start = Instant::now();
+    let now = || Now {
+        mono_ms: start.elapsed().as_secs_f64() * 1000.0,
+        unix_ms: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0,
+    };
+    let mut liar = Gossip::new(config, ring, 9, now());
+    let all: Vec<BoxKey> = (0..4).map(|i| BoxKey::of(&format!("box-{i}"), 0)).collect();
+    let mut out = Vec::new();
+    liar.handle(now(), Event::Boxes(all.clone()), &mut out);
+    let mut client = peers[1].front.client();
+    let (mut object, mut accused) = (0, 0);
+    while accused < 40 || !peers.iter().all(|p| p.status().contains("word box-0 failing")) {
+        assert!(start.elapsed() < PATIENCE, "its words never came: {}", peers[0].status());
+        liar.handle(
+            now(),
+            Event::Evidence { of: all[0], kind: Kind::Failing, strength: 1.0, count: 255 },
+            &mut out,
+        );
+        liar.handle(now(), Event::Tick, &mut out);
+        let mut data = [0; 300];
+        while let Ok((n, from)) = socket.recv_from(&mut data) {
+            liar.handle(now(), Event::Datagram { from, bytes: data[..n].to_vec() }, &mut out);
+        }
+        for a in out.drain(..) {
+            if let Action::Send { to, bytes } = a {
+                let _ = socket.send_to(&bytes, to);
+            }
+        }
+        object += 1;
+        assert_eq!(client.ask("docs", object), Answer::Served);
+        accused += 1;
+        assert!(peers.iter().all(|p| p.hearsay("box-0") <= 0.0));
+    }
+    let before = nodes[0].count();
+    (0..60).for_each(|n| assert_eq!(client.ask("docs", 5_000 + n), Answer::Served));
+    assert!(nodes[0].count() > before + 5, "the accused box has its homes still");
+    let _ = std::fs::remove_dir_all(dir);
+}
+
+/// The keys of a file, as a front reads them.
+fn ring(file: &Path) -> Keyring {
+    let text = std::fs::read_to_string(file).expect("the keys");
+    fernslip_gossip::check_file(&text, 1, 1, 0o600).expect("good keys")
+}
+
+/// Add, switch, drop, each on every front before the next, while they talk: no datagram is refused for its key.
+#[test]
+fn keys_are_rotated_while_fronts_talk() {
+    let dir = folder("rotate");
+    let keys = new_keys(&dir);
+    let nodes: Vec<Node> = (0..3).map(|_| Node::start()).collect();
+    let boxes: Vec<&Node> = nodes.iter().collect();
+    let first = Peer::start(&dir, 0, &boxes, None);
+    let seed = Some(first.at);
+    let mut peers = vec![first, Peer::start(&dir, 1, &boxes, seed), Peer::start(&dir, 2, &boxes, seed)];
+    wait_for("three fronts that know each other", || peers.iter().all(|p| p.knows(3)));
+    for (step, told) in
+        [("add", "keys [1, 2], 1 signs"), ("switch", "keys [2, 1], 2 signs"), ("drop", "keys [2], 2 signs")]
+    {
+        assert_eq!(fernslip(&["keys", "rotate", &keys, "--step", step]).0, Some(0));
+        for p in &mut peers {
+            std::fs::copy(&keys, &p.keys).expect("a copy");
+            p.front.signal("HUP");
+            p.front.log(told);
+        }
+    }
+    let taken = |p: &Peer| {
+        let status = p.status();
+        let line = status.lines().find_map(|l| l.strip_prefix("taken datagrams=").map(String::from));
+        line.and_then(|l| l.split(' ').next()?.parse::<u64>().ok()).expect("a count")
+    };
+    let before: Vec<u64> = peers.iter().map(taken).collect();
+    wait_for("talk under the new key", || peers.iter().zip(&before).all(|(p, b)| taken(p) > b + 2));
+    assert!(
+        peers.iter().all(|p| !p.status().contains("rejected tag") && p.knows(3)),
+        "{}",
+        peers[0].status()
+    );
+    let _ = std::fs::remove_dir_all(dir);
+}
+
+#[test]
+fn key_files_are_made_checked_and_not_shown() {
+    let dir = folder("keys");
+    let file = new_keys(&dir);
+    let secret = std::fs::read_to_string(&file).expect("the keys");
+    let mode = std::fs::metadata(&file).expect("it").permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+    assert_eq!(fernslip(&["keys", "new", &file]).0, Some(1), "one that is there is left alone");
+    assert_eq!(std::fs::read_to_string(&file).expect("the keys"), secret);
+    let (code, shown) = fernslip(&["keys", "show", &file]);
+    assert_eq!((code, shown.as_str()), (Some(0), "signs 1, accepts 1\n"));
+    for bad in ["switch", "drop"] {
+        assert_eq!(
+            fernslip(&["keys", "rotate", &file, "--step", bad]).0,
+            Some(1),
+            "{bad} without a second key"
+        );
+    }
+    std::fs::set_permissions(&file, std::fs::Permissions::from_mode(0o640)).expect("a mode");
+    let (code, told) = fernslip(&["keys", "show", &file]);
+    assert!(code == Some(1) && told.contains("chmod 600"), "{told}");
+    let site = dir.join("site.kdl").display().to_string();
+    let text = format!(
+        "site \"g\" members-from=\"file\"\nfront \"n0\" listen=\"127.0.0.1:0\"\nclass \"c\" aim-ms=1 deadline-ms=2\n\
+         gossip listen=\"127.0.0.1:0\" key-file={file:?} {{ front \"n1\"; }}\n"
+    );
+    std::fs::write(&site, text).expect("a file");
+    let (code, told) = fernslip(&["run", "--site", &site]);
+    assert!(code == Some(1) && told.contains("chmod 600") && told.contains("none of its own list"), "{told}");
+    assert_eq!(fernslip(&["gossip", "status", &dir.join("none").display().to_string()]).0, Some(1));
+    let _ = std::fs::remove_dir_all(dir);
+}
