--- a/crates/gossip/src/engine.rs
+++ b/crates/gossip/src/engine.rs
@@ -711,7 +711,7 @@
                 .get(id)
                 .is_some_and(|m| !matches!(m.view.state, MemberState::Gone | MemberState::Left))
         };
-        let said: Vec<Said> = self
+        let mut said: Vec<Said> = self
             .rumours
             .on(of, at)
             .filter(|(witness, _)| present(*witness))
@@ -724,6 +724,15 @@
                 accuses: self.rumours.accuses(witness, at),
             })
             .collect();
+        // What we see ourselves is one witness of the quorum, and the one that is trusted.
+        said.extend(self.own.get(&of).filter(|o| o.kind.is_against()).map(|o| Said {
+            witness: self.id,
+            kind: o.kind,
+            strength: o.strength,
+            age_ms: at - o.seen_ms,
+            trust: 1.0,
+            accuses: self.accuses(),
+        }));
         let good = self.own_good.get(&of).map(|t| at - t);
         let amount = weigh(&said, self.members.present().count() + 1, good);
         let old = self.hearsay(of);
@@ -737,6 +746,12 @@
         }
     }
 
+    /// The part of all boxes that this front itself speaks against, reckoned as others reckon it.
+    fn accuses(&self) -> f64 {
+        let against = self.own.values().filter(|o| o.kind.is_against()).count();
+        (against as f64 - 1.0).max(0.0) / (self.rumours.boxes() as f64 + 2.0)
+    }
+
     // ---- time ----
 
     fn ack_ms(&self) -> f64 {
