Write the gossip status outside of its locks

Cause: the thread that answers operators held the instance's lock while it wrote up to 16,384 words, and the worker would have waited for it. Change: it copies under the lock and writes afterwards.

--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -196,26 +196,32 @@
         }
     }
 
-    /// What operators are shown.
+    /// What operators are shown. Called on a thread of its own: the worker waits for the locks only as long as it
+    /// takes to copy what they hold, not to write it.
     fn status(&self) -> String {
-        let (gossip, at) = (lock(&self.gossip), now(&self.clock));
+        let at = now(&self.clock);
+        let (config, id, counts, members, words, heard) = {
+            let gossip = lock(&self.gossip);
+            let members: Vec<_> = gossip.members().map(|m| (gossip.trust(m.id, at), m)).collect();
+            let words: Vec<_> = gossip.rumours(at).collect();
+            let heard: Vec<(BoxKey, f64)> = gossip.heard().collect();
+            (gossip.config().clone(), gossip.id(), gossip.counts().clone(), members, words, heard)
+        };
+        let boxes = lock(&self.boxes).by_key.clone();
+        let name = |key: &BoxKey| boxes.get(key).map_or("?", |id| &id.0);
         let mut out = String::new();
-        let c = gossip.counts();
-        let _ =
-            writeln!(out, "front {} {:08x} at {}", gossip.config().name, gossip.id().0, gossip.config().addr);
+        let _ = writeln!(out, "front {} {:08x} at {}", config.name, id.0, config.addr);
+        let c = counts;
         let _ = writeln!(out, "sent datagrams={} bytes={} held_back={}", c.sent, c.sent_bytes, c.held_back);
         let _ = writeln!(out, "taken datagrams={} refuted={}", c.taken, c.refuted);
         for (why, n) in &c.rejected {
             let _ = writeln!(out, "rejected {} {n}", format!("{why:?}").to_lowercase());
         }
-        for m in gossip.members() {
-            let trust = gossip.trust(m.id, at);
+        for (trust, m) in members {
             let state = format!("{:?}", m.state).to_lowercase();
             let _ = writeln!(out, "member {} {:08x} {} {state} trust={trust:.2}", m.name, m.id.0, m.addr);
         }
-        let boxes = lock(&self.boxes);
-        let name = |key: &BoxKey| boxes.by_key.get(key).map_or("?", |id| &id.0);
-        for r in gossip.rumours(at) {
+        for r in words {
             let (w, kind) = (r.word, format!("{:?}", r.word.kind).to_lowercase());
             let (node, age) = (name(&w.of), w.age_ms / 1000.0);
             let _ = writeln!(
@@ -224,11 +230,8 @@
                 r.witness.0, w.strength
             );
         }
-        for (key, id) in &boxes.by_key {
-            let amount = gossip.hearsay(*key);
-            if amount != 0.0 {
-                let _ = writeln!(out, "hearsay {} {amount:.2}", id.0);
-            }
+        for (key, amount) in heard {
+            let _ = writeln!(out, "hearsay {} {amount:.2}", name(&key));
         }
         out
     }
--- a/crates/gossip/src/engine.rs
+++ b/crates/gossip/src/engine.rs
@@ -347,6 +347,11 @@
         self.given.get(&of).copied().unwrap_or(0.0)
     }
 
+    /// All boxes on which the others' words amount to something, as told last.
+    pub fn heard(&self) -> impl Iterator<Item = (BoxKey, f64)> + '_ {
+        self.given.iter().map(|(of, amount)| (*of, *amount))
+    }
+
     /// How much is held: members, words, own words, words told to peers. For watching memory.
     pub fn held(&self) -> [usize; 4] {
         let told = self.told.values().map(BTreeMap::len).sum();
