Take a lone error of one's own for no witness; tell the answers behind a word

Change: own evidence counts from a refused connection or errors in a row on; words carry the answers behind them; wasted attempts are counted over the same minute in all runs.

--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -224,11 +224,10 @@
         for r in words {
             let (w, kind) = (r.word, format!("{:?}", r.word.kind).to_lowercase());
             let (node, age) = (name(&w.of), w.age_ms / 1000.0);
-            let _ = writeln!(
-                out,
-                "word {node} {kind} by {:08x} strength={:.2} age={age:.1}s",
-                r.witness.0, w.strength
-            );
+            let (by, sure, count) = (r.witness.0, w.strength, w.count);
+            let line =
+                format!("word {node} {kind} by {by:08x} strength={sure:.2} answers={count} age={age:.1}s");
+            let _ = writeln!(out, "{line}");
         }
         for (key, amount) in heard {
             let _ = writeln!(out, "hearsay {} {amount:.2}", name(&key));
--- a/crates/gossip/examples/liar.rs
+++ b/crates/gossip/examples/liar.rs
@@ -25,6 +25,8 @@
 const SETTLE_MS: f64 = 20_000.0;
 /// Hearsay from which on a front counts as avoiding a box.
 const AVOIDS: f64 = 0.75;
+/// Attempts at the dead box are counted as wasted for so long.
+const WASTED_MS: f64 = 60_000.0;
 /// Of a healthy box's answers, so many are errors.
 const NOISE: f64 = 0.001;
 
@@ -164,7 +166,7 @@
                 {
                     actions.clear();
                     let fails = dead && &*cache.0 == "box-0";
-                    wasted += u64::from(fails);
+                    wasted += u64::from(fails && w.now < SETTLE_MS + WASTED_MS);
                     let ending = match fails {
                         true => Ending::RefusedConn,
                         false if rng.random_bool(NOISE) => Ending::Errored,
@@ -225,7 +227,8 @@
                 f.router.handle(w.now + 1.0, Event::Hearsay { cache, amount }, &mut Vec::new());
             }
         }
-        if dead && fronts.iter().all(|f| f.avoids.is_some()) && case.liars == 0 {
+        let counted = w.now > SETTLE_MS + WASTED_MS.min(horizon);
+        if counted && fronts.iter().all(|f| f.avoids.is_some()) && case.liars == 0 {
             break;
         }
     }
--- a/crates/gossip/src/engine.rs
+++ b/crates/gossip/src/engine.rs
@@ -43,6 +43,8 @@
 const SLOWEST: u32 = 8;
 /// Bytes that words leave to pings and acks.
 const RESERVE: usize = 512;
+/// Own evidence as sure as this counts as a witness: a refused connection, or errors in a row.
+const OWN_FROM: f64 = 0.45;
 /// A change of hearsay smaller than this is not told.
 const STEP: f64 = 0.05;
 /// Pings made for others that wait for their acks.
@@ -123,7 +125,7 @@
         kind: Kind,
         /// How sure, from 0 to 1.
         strength: f64,
-        /// Answers behind it.
+        /// Answers behind it; those of the same kind before it are added.
         count: u8,
     },
     /// These are all boxes that there are.
@@ -686,6 +688,8 @@
                 o.kind != kind || (o.strength - strength).abs() >= 0.1 || at - o.said_ms >= REFRESH_MS
             });
             let version = old.map_or(0, |o| o.version) + u32::from(news);
+            // Answers behind the word: those that showed the same, one after the other.
+            let count = old.filter(|o| o.kind == kind).map_or(0, |o| o.count).saturating_add(count);
             let said_ms = if news { at } else { old.map_or(at, |o| o.said_ms) };
             self.own.insert(of, Own { kind, strength, count, seen_ms: at, version, said_ms });
         }
@@ -729,8 +733,10 @@
                 accuses: self.rumours.accuses(witness, at),
             })
             .collect();
-        // What we see ourselves is one witness of the quorum, and the one that is trusted.
-        said.extend(self.own.get(&of).filter(|o| o.kind.is_against()).map(|o| Said {
+        // What we see ourselves is one witness of the quorum, and the one that is trusted. A lone error is none: with
+        // it, one peer that lies would lower a healthy box.
+        let own = self.own.get(&of).filter(|o| o.kind.is_against() && o.strength >= OWN_FROM);
+        said.extend(own.map(|o| Said {
             witness: self.id,
             kind: o.kind,
             strength: o.strength,
--- a/crates/gossip/src/weigh.rs
+++ b/crates/gossip/src/weigh.rs
@@ -5,7 +5,8 @@
 //! speaks against. Who speaks against everything says nothing: it is slow itself, cut off, or lying.
 //!
 //! Words against a box count from a quorum of independent witnesses on, each with a voice of at least
-//! [`LEAST_VOICE`]; so no single peer moves anything. Our own evidence against it is one of them, of trust 1. The sum of voices over `quorum * FULL_VOICE`, less that of those
+//! [`LEAST_VOICE`]; so no single peer moves anything. Our own evidence against it is one of
+//! them, of trust 1, if it is more than a lone error. The sum of voices over `quorum * FULL_VOICE`, less that of those
 //! who say it is well, from -1 to 1, times [`CAP`], is the hearsay. Our own good answers take away what speaks against
 //! a box, by `1 - 0.5^(age / own half-life)`: hearsay never outweighs what we see ourselves.
 
--- a/crates/gossip/tests/hard.rs
+++ b/crates/gossip/tests/hard.rs
@@ -60,6 +60,11 @@
     w.pass(4_000.0);
     assert_eq!(hear(&w), 4);
     assert!((2..6).all(|n| w.fronts[n].heard.iter().all(|(of, h)| *of == all[3] || *h == 0.0)));
+    // The answers behind a word are told with it.
+    w.say(0, all[3], FAILING, 0.8);
+    w.pass(9_000.0);
+    let counts: Vec<u8> = w.gossip(2).rumours(w.clock(2)).map(|r| r.word.count).collect();
+    assert!(counts.contains(&10), "{counts:?}");
     // It fades once nobody says it any more.
     w.pass(40_000.0);
     assert!((0..6).all(|n| w.heard(n, all[3]) == 0.0));
@@ -77,6 +82,23 @@
     assert!((0..4).all(|n| w.fronts[n].most_heard == 0.0), "at no step");
 }
 
+/// A liar and one error of our own are no quorum either; a refused connection of our own and a peer's word are.
+#[test]
+fn a_lone_error_of_our_own_is_no_witness() {
+    for (strength, heard) in [(0.3, false), (0.5, true)] {
+        let (mut w, all) = settled(5, 30, 0.0, 21);
+        for _ in 0..8 {
+            w.say(4, all[0], FAILING, 1.0);
+            w.pass(250.0);
+        }
+        w.say(0, all[0], FAILING, strength);
+        assert_eq!(w.heard(0, all[0]) > 0.3, heard, "{strength}: {}", w.heard(0, all[0]));
+        // A good answer of our own ends it.
+        w.say(0, all[0], Kind::Well, 1.0);
+        assert_eq!(w.heard(0, all[0]), 0.0);
+    }
+}
+
 /// Two liars are as many as a small fleet asks for. What they reach is capped, and their record ends it: the others
 /// see the box answer, and hold it against them.
 #[test]
