--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -76,6 +76,7 @@
     }
     let effect = dispatcher.host().effect(request.class);
     let mut may_have_run = false;
+    let request_kb = request.size_kb;
     let mut decision = dispatcher.pick(clock.now(), request);
     let mut reply = None;
     loop {
@@ -99,18 +100,28 @@
                 if end.ending == Ending::Completed {
                     reply = end.reply;
                 }
+                let elapsed_ms = sent.elapsed().as_secs_f64() * 1000.0;
+                // Off unless asked for: a line for each attempt, to be counted over all fronts.
+                tracing::debug!(
+                    trace = %ask.trace, class = %ask.class, object = %ask.item, size = request_kb, n = a.number, node = %a.cache.0,
+                    via = %a.source.as_ref().map_or("-", |s| &s.0), ending = ?end.ending, detail = end.detail,
+                    ms = elapsed_ms as u64, "attempt"
+                );
                 let ended = Ended {
                     id: a.id,
                     attempt: a.number,
                     cache: a.cache,
                     ending: end.ending,
-                    elapsed_ms: sent.elapsed().as_secs_f64() * 1000.0,
+                    elapsed_ms,
                     detail: end.detail,
                     fill_wait_ms: end.fill_wait_ms,
                 };
                 decision = dispatcher.report(clock.now(), ended);
             }
-            Decision::Refuse { retry_after_ms } => return Answer::Refused(retry_after_ms),
+            Decision::Refuse { retry_after_ms } => {
+                tracing::debug!(trace = %ask.trace, class = %ask.class, size = request_kb, "refused");
+                return Answer::Refused(retry_after_ms);
+            }
             Decision::Fail => return Answer::Failed,
             Decision::Over => return reply.map_or(Answer::None, Answer::Served),
         }
