Ask another source after one has turned a request away

The three other parents took what they were asked all the while. Checked and ruled out: the caches themselves (no refusal under 10 ms, and spread over all of them), the origin (other parents went on fetching from it). At fault: `learn` in policy.rs, where a refusal after `UNSEEN_MS` blamed nobody and left the source in the request's choice, so that all fronts together sent the crowded parent each request six times. Change: the source is left out for the rest of that request; nothing is held against it otherwise. Also: the moving count `Share` has a file of its own (`share.rs`), which takes it out of the policy's lines.

--- a/crates/fernslip/src/lib.rs
+++ b/crates/fernslip/src/lib.rs
@@ -110,6 +110,7 @@
 pub mod filter;
 pub mod json;
 mod policy;
+mod share;
 
 pub use api::*;
 pub use policy::Router;
--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -1,10 +1,11 @@
 //! Every decision of fernslip. Its interface (settings, events, actions) is the one file `src/api.rs`;
-//! `src/filter.rs` is the counting filter as a plain data structure.
+//! `src/filter.rs` is the counting filter, `src/share.rs` a moving count, as plain data structures.
 //!
 //! Reads in this order: constants, state, events in the order in which a request lives, guards.
 
 use crate::api::*;
 use crate::filter::{decode, encode, hash, Change, Filter, Hashes};
+use crate::share::Share;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // The design's own figures. Counters: some 16 for each key that a cache sees in a generation at 100/s.
@@ -53,7 +54,6 @@
 // Load, in answers at full pace over the link that sends them.
 const SPILL_GAIN: f64 = 0.6; // of home's load, where a second copy pays
 const LATE_MARGIN: f64 = 1.6; // load rises while an answer is sent
-const SHARE_MS: f64 = 3_000.0; // time over which a router's own part stands for the others'
 
 // A machine's pace: how many times their sending time its fills (of a cache: its hits) take, a moving average
 // that fades.
@@ -165,30 +165,6 @@
     Write,
 }
 
-/// This router's attempts at a machine, or its fills, under way now and on average lately.
-#[derive(Clone, Copy, Default)]
-struct Share {
-    now: f64,
-    mean: f64,
-    at: f64,
-}
-
-impl Share {
-    fn mean(&self, now: f64) -> f64 {
-        self.now + (self.mean - self.now) * (-(now - self.at) / SHARE_MS).exp()
-    }
-
-    fn step(&mut self, now: f64, by: f64) {
-        *self = Share { mean: self.mean(now), now: (self.now + by).max(0.0), at: now };
-    }
-
-    /// What all `routers` have under way, taken to do on average as this one does. One router's present count
-    /// alone, times the others, would be all or nothing where each has one or none.
-    fn of_all(&self, now: f64, routers: f64) -> f64 {
-        self.now + (routers - 1.0) * self.mean(now)
-    }
-}
-
 /// Fills under way, and how many the location may have.
 #[derive(Default)]
 struct Gate {
@@ -832,7 +808,9 @@
                 if sibling {
                     self.record(source, |f| f.remove(req.key));
                 }
-                if sibling || told && c == 0.0 || !told && s > c {
+                // A source that turned it away would do so again, to all fronts at once: the second is asked.
+                let refused = o.ending == Ending::Saturated && !told && c == 0.0;
+                if sibling || refused || told && c == 0.0 || !told && s > c {
                     req.failed.insert(source.clone());
                 }
                 // After a break the same cache is tried once more: if its process died, that is refused.
--- a/crates/fernslip/tests/failures.rs
+++ b/crates/fernslip/tests/failures.rs
@@ -380,3 +380,23 @@
     let over = r.end(&second, 1, Ending::Errored, 0);
     assert!(sent(&over).is_none() && refused(&over), "{over:?}");
 }
+
+/// A crowded parent turned requests away, and each was sent there six times over, by all fronts in the same moment.
+#[test]
+fn after_a_source_has_turned_it_away_a_request_asks_another_source() {
+    let mut settings = settings();
+    settings.notes = NoteLevel::Hit;
+    let mut r = Rig::with(settings);
+    r.list(fleet());
+    let mut sources = Vec::new();
+    let mut next = sent(&r.ask(1));
+    for n in 0.. {
+        let Some(s) = next else { break };
+        sources.push(s.source.clone());
+        r.now += 20.0;
+        next = sent(&r.end_after(&s, n, (Ending::Saturated, 0), 20.0));
+    }
+    let once: std::collections::BTreeSet<_> = sources.iter().collect();
+    assert!(sources.len() >= 2, "another source is asked");
+    assert_eq!(once.len(), sources.len(), "{sources:?}");
+}
