Take load from boxes' own reports, and hold silence against a box

Load at a box was a guess from the one or two requests a second that one front of many sends there. At fault: `learn` in policy.rs passed over attempts called off in silence; `load` knew the router's own part only. Change: reports (`inflight`, `rif`) are read, passed through the facade and wear out by half in 0.3 s; silence counts 2.5 failures.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -2,7 +2,7 @@
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
-use fernslip::json::{hex, num, opt, text, unknown, Got, JsonError, Names};
+use fernslip::json::{hex, num, opt, text, unknown, Got, JsonError, Names, HOLDS};
 use fernslip::*;
 use serde_json::{json, Value};
 
@@ -90,6 +90,11 @@
             over: v["over"].as_bool().unwrap_or(false),
             detail: opt(v, "detail")? as u8,
             fill_wait_ms: opt(v, "fill_wait_ms")?,
+            holds: names
+                .reports
+                .iter()
+                .position(|n| HOLDS.contains(&n.as_str()))
+                .and_then(|i| v["stats"].get(i)?.as_f64()),
         }),
         "WITHDRAWN" => Event::Withdrawn { id: id()? },
         "WAKEUP" => Event::Timer { token: v["handle"].as_u64().unwrap_or(0) },
--- a/crates/fernslip/src/api.rs
+++ b/crates/fernslip/src/api.rs
@@ -371,6 +371,8 @@
     pub detail: u8,
     /// Time to the source's first byte or failure, where told.
     pub fill_wait_ms: f64,
+    /// Requests of all routers that the cache holds, as its answer reports; late and not exact.
+    pub holds: Option<f64>,
 }
 
 /// What a router tells the module.
--- a/crates/fernslip/src/facade.rs
+++ b/crates/fernslip/src/facade.rs
@@ -55,7 +55,7 @@
 //!     now += 20.0;
 //!     let (id, attempt, cache) = (a.id, a.number, a.cache);
 //!     let ending = Ending::Completed;
-//!     let ended = Ended { id, attempt, cache, ending, elapsed_ms: 20.0, detail: 2, fill_wait_ms: 0.0 };
+//!     let ended = Ended { id, attempt, cache, ending, elapsed_ms: 20.0, detail: 2, fill_wait_ms: 0.0, holds: None };
 //!     decision = dispatcher.report(now, ended);
 //! }
 //! assert!(matches!(decision, Decision::Over)); // served: nothing more is owed
@@ -152,6 +152,8 @@
     pub detail: u8,
     /// Time to the source's first byte or failure, where told.
     pub fill_wait_ms: f64,
+    /// Requests of all fronts that the cache holds, where its answer reports them.
+    pub holds: Option<f64>,
 }
 
 #[derive(Default)]
@@ -238,7 +240,7 @@
 
     /// Tells how an attempt ended and what to do with its request now; waits where the module holds it.
     pub fn report(&self, now_ms: f64, ended: Ended) -> Decision {
-        let Ended { id, attempt, cache, ending, elapsed_ms, detail, fill_wait_ms } = ended;
+        let Ended { id, attempt, cache, ending, elapsed_ms, detail, fill_wait_ms, holds } = ended;
         let over = {
             let mut inner = self.lock();
             let Some(open) = inner.open.get_mut(&id) else { return Decision::Over };
@@ -246,7 +248,7 @@
             open.called_off = None;
             open.over
         };
-        let outcome = Outcome { id, attempt, cache, ending, elapsed_ms, over, detail, fill_wait_ms };
+        let outcome = Outcome { id, attempt, cache, ending, elapsed_ms, over, detail, fill_wait_ms, holds };
         self.feed(now_ms, Event::Outcome(outcome));
         self.decided(id)
     }
@@ -270,6 +272,7 @@
             over: true,
             detail: 0,
             fill_wait_ms: 0.0,
+            holds: None,
         };
         self.feed(now_ms, Event::Outcome(outcome));
     }
--- a/crates/fernslip/src/json.rs
+++ b/crates/fernslip/src/json.rs
@@ -52,8 +52,13 @@
     pub kinds: Vec<String>,
     /// Classes of requests.
     pub classes: Vec<String>,
+    /// Values of a load report, in order.
+    pub reports: Vec<String>,
 }
 
+/// The requests that a machine holds, as reports name them: in the settings, and on a front's sockets.
+pub const HOLDS: [&str; 2] = ["rif", "inflight"];
+
 /// A value read, or why not.
 pub type Got<T> = Result<T, JsonError>;
 
@@ -176,5 +181,7 @@
         classes,
     };
     let classes = s.classes.iter().map(|c| c.name.clone()).collect();
-    Ok((s, Names { zones, kinds, classes }))
+    let reports =
+        if info["report"]["fields"].is_array() { words(&info["report"], "fields")? } else { vec![] };
+    Ok((s, Names { zones, kinds, classes, reports }))
 }
--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -6,7 +6,7 @@
 use crate::api::*;
 use crate::cold::Warming;
 use crate::filter::{decode, encode, hash, Change, Filter, Hashes};
-use crate::share::Share;
+use crate::share::{Crowd, Share};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // The design's own figures. Counters: some 16 for each key that a cache sees in a generation at 100/s.
@@ -32,6 +32,7 @@
 const EJECT_PART: f64 = 0.4; // of a group at the most, lest the rest drown
 const SAID_MOST: f64 = 0.8; // of its homes, what hearsay takes from a cache at the most
 const SURE_FROM: f64 = 0.05; // share of failures, from which it is evidence for others
+const SILENCE_BLAME: f64 = 2.5; // in failures: enough for trials only
 const SILENCE_SURE: f64 = 0.8; // how sure silence is as evidence, and a crawl
 const SAME_FAILURE_MS: f64 = 5.0; // a broken connection ends all attempts on it: one failure
 const FIRST_TRIAL_MS: f64 = 600.0; // from ejection to the first trial
@@ -127,7 +128,7 @@
     said: f64,
     ejected: bool,
     next_trial: f64,
-    open: Share,
+    open: Crowd,
     pace: f64,
     paced: f64,
     /// When it is silent if nothing is heard before; set by the first attempt after the last sign of life.
@@ -305,7 +306,7 @@
         }
         self.caches.values_mut().for_each(|c| c.filter.age());
         self.wanted.age();
-        self.caches.retain(|_, c| c.phase != Phase::Out || c.open.now > 0.0);
+        self.caches.retain(|_, c| c.phase != Phase::Out || c.open.own.now > 0.0);
         let keep = self.set.purge_done_ms.max(2.0 * GENERATION_MS) + GENERATION_MS;
         let now = self.now;
         self.purges.retain(|_, at| now - *at < keep);
@@ -456,7 +457,7 @@
             }
         }
         if let Some(c) = self.caches.get_mut(&cache) {
-            c.open.step(now, 1.0);
+            c.open.own.step(now, 1.0);
             c.quiet_by.get_or_insert(now + quiet);
         }
         if !self.watching && self.set.cancel {
@@ -737,7 +738,10 @@
         let silent =
             matches!(o.ending, Ending::Overdue | Ending::Recalled | Ending::RefusedConn | Ending::Superseded);
         if let Some(c) = self.caches.get_mut(&cache) {
-            c.open.step(now, -1.0);
+            if let Some(holds) = o.holds {
+                c.open.told(now, holds);
+            }
+            c.open.own.step(now, -1.0);
             if !silent {
                 c.quiet_by = None;
                 c.heard = now;
@@ -784,6 +788,8 @@
                     req.failed.insert(source.clone());
                 }
             }
+            // Called off in silence: a box that answers now and then only is not well again with one answer.
+            Ending::Recalled if a.called_off => self.verdict(cache, SILENCE_BLAME, out),
             Ending::Superseded | Ending::Recalled => {}
             _ => {
                 // A time-out counts only against a machine that has answered nothing since: a slow one is
--- a/crates/fernslip/src/share.rs
+++ b/crates/fernslip/src/share.rs
@@ -4,7 +4,7 @@
 const SHARE_MS: f64 = 3_000.0;
 
 /// This router's attempts at a machine, or its fills, under way now and on average lately.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Share {
     /// At this moment.
     pub now: f64,
@@ -29,3 +29,33 @@
         self.now + (routers - 1.0) * self.mean(now)
     }
 }
+
+/// A report is half worn out after so long, in milliseconds: about the time an answer takes.
+const REPORT_MS: f64 = 300.0;
+
+/// What all routers have under way at a machine: as it reports itself, and as far as it does not, a [`Share`]'s guess.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Crowd {
+    /// This router's part.
+    pub own: Share,
+    /// What was reported, when, and this router's part at that time.
+    report: Option<(f64, f64, f64)>,
+}
+
+impl Crowd {
+    /// Takes a report in at the time `now`.
+    pub fn told(&mut self, now: f64, holds: f64) {
+        if holds.is_finite() && holds >= 0.0 {
+            self.report = Some((holds, now, self.own.now));
+        }
+    }
+
+    /// What all `routers` have under way there.
+    pub fn of_all(&self, now: f64, routers: f64) -> f64 {
+        let guess = self.own.of_all(now, routers);
+        let Some((holds, at, own)) = self.report else { return guess };
+        // This router knows what it has begun and ended since.
+        let told = (holds + self.own.now - own).max(self.own.now);
+        guess + (told - guess) * (-(now - at) / REPORT_MS).exp2()
+    }
+}
--- a/crates/fernslip/tests/common/mod.rs
+++ b/crates/fernslip/tests/common/mod.rs
@@ -171,6 +171,7 @@
             over: how.0 == Ending::Completed,
             detail: how.1,
             fill_wait_ms: 0.0,
+            holds: None,
         }))
     }
 
--- a/crates/fernslip/tests/facade.rs
+++ b/crates/fernslip/tests/facade.rs
@@ -63,7 +63,7 @@
 
 fn ended(a: &Attempt, ending: Ending) -> Ended {
     let (id, attempt, cache) = (a.id, a.number, a.cache.clone());
-    Ended { id, attempt, cache, ending, elapsed_ms: 50.0, detail: 0, fill_wait_ms: 0.0 }
+    Ended { id, attempt, cache, ending, elapsed_ms: 50.0, detail: 0, fill_wait_ms: 0.0, holds: None }
 }
 
 #[test]
--- a/crates/front/src/plan.rs
+++ b/crates/front/src/plan.rs
@@ -269,6 +269,7 @@
         zones: zones.clone(),
         kinds: KINDS.map(String::from).to_vec(),
         classes: classes.iter().map(|c| c.name.clone()).collect(),
+        reports: Vec::new(),
     };
     // The rules' figures are those of the first deployment; a site with other machines tells them by a configuration.
     let settings = Settings {
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -105,7 +105,7 @@
                 tracing::debug!(
                     trace = %ask.trace, class = %ask.class, object = %ask.item, size = request_kb, n = a.number, node = %a.cache.0,
                     via = %a.source.as_ref().map_or("-", |s| &s.0), ending = ?end.ending, detail = end.detail,
-                    ms = elapsed_ms as u64, "attempt"
+                    ms = elapsed_ms as u64, holds = end.holds, "attempt"
                 );
                 let ended = Ended {
                     id: a.id,
@@ -115,6 +115,7 @@
                     elapsed_ms,
                     detail: end.detail,
                     fill_wait_ms: end.fill_wait_ms,
+                    holds: end.holds,
                 };
                 decision = dispatcher.report(clock.now(), ended);
             }
--- a/crates/front/src/resp.rs
+++ b/crates/front/src/resp.rs
@@ -30,6 +30,13 @@
     pub fn field(&self, name: &str) -> Option<&'a str> {
         self.fields.split(',').find_map(|f| f.split_once('=').filter(|f| f.0 == name)).map(|f| f.1)
     }
+
+    /// A value of the load report, where there is one that can be used.
+    pub fn report(&self, name: &str) -> Option<f64> {
+        let mut values = self.field("meter")?.split(';').filter_map(|v| v.split_once(':'));
+        let value: f64 = values.find(|v| v.0 == name)?.1.parse().ok()?;
+        (value.is_finite() && value >= 0.0).then_some(value)
+    }
 }
 
 /// Why bytes are no answer.
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -6,6 +6,7 @@
 use crate::resp;
 use crate::spawn::spawn;
 use fernslip::facade::{Attempt, Waiter};
+use fernslip::json::HOLDS;
 use fernslip::{CacheId, Ending, RequestId};
 use may::net::TcpStream;
 use may::sync::Blocker;
@@ -63,13 +64,15 @@
     pub detail: u8,
     /// Time to the source's first byte, where told.
     pub fill_wait_ms: f64,
+    /// Requests that the node holds, where told.
+    pub holds: Option<f64>,
     /// What came, where it was served.
     pub reply: Option<Reply>,
 }
 
 impl End {
     fn without_answer(ending: Ending) -> End {
-        End { ending, detail: 0, fill_wait_ms: 0.0, reply: None }
+        End { ending, detail: 0, fill_wait_ms: 0.0, holds: None, reply: None }
     }
 
     fn of(a: &resp::Answer<'_>) -> Option<End> {
@@ -91,6 +94,7 @@
             ending,
             detail: note.map_or(0, |n| n as u8 + 1),
             fill_wait_ms: a.field("lag").and_then(|v| v.parse().ok()).unwrap_or(0.0),
+            holds: HOLDS.iter().find_map(|name| a.report(name)),
             reply: (ending == Ending::Completed).then_some(Reply { current, body }),
         })
     }
--- a/crates/gossip/examples/liar.rs
+++ b/crates/gossip/examples/liar.rs
@@ -182,6 +182,7 @@
                         over,
                         detail: if over { 2 } else { 0 },
                         fill_wait_ms: 0.0,
+                        holds: None,
                     };
                     attempt += 1;
                     fronts[n].router.handle(now, Event::Outcome(outcome), &mut actions);
