--- /dev/null
+++ b/crates/fernslip/src/place.rs
@@ -0,0 +1,21 @@
+//! Places in hash order: weighted rendezvous.
+
+use crate::filter::Hashes;
+
+/// Mixes all bits of a number.
+pub fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// A key's hashes as one number.
+pub fn word(h: Hashes) -> u64 {
+    u64::from(h.0[0]) << 32 | u64::from(h.0[1])
+}
+
+/// Weighted rendezvous score: the highest wins, and each wins by its weight.
+pub fn score(tag: u64, key: u64, weight: f64) -> f64 {
+    let u = ((mix(tag ^ mix(key)) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    -weight.max(1e-9) / u.ln()
+}
--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -6,6 +6,7 @@
 use crate::api::*;
 use crate::cold::Warming;
 use crate::filter::{decode, encode, hash, Change, Filter, Hashes};
+use crate::place::{mix, score, word};
 use crate::share::{Crowd, Share};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -61,6 +62,7 @@
 // that fades.
 const PACE_STEP: f64 = 0.4; // large, as one of many routers sees few fills of each
 const PACE_FADES_MS: f64 = 10_000.0;
+const PACE_SEEN_MS: f64 = 1_000.0; // until it counts by half at a cold box
 const PACE_BASE_MS: f64 = 100.0; // what a fill takes besides its sending
 const HIT_BASE_MS: f64 = 10.0; // what a hit takes besides its sending
 const SLOW: f64 = 1.5; // times its fellows' pace, from which it is given less
@@ -225,22 +227,6 @@
     witness: bool,
 }
 
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-fn word(h: Hashes) -> u64 {
-    u64::from(h.0[0]) << 32 | u64::from(h.0[1])
-}
-
-/// Weighted rendezvous score: the highest wins, and each wins by its weight.
-fn score(tag: u64, key: u64, weight: f64) -> f64 {
-    let u = ((mix(tag ^ mix(key)) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-    -weight.max(1e-9) / u.ln()
-}
-
 impl Router {
     /// A router that knows nothing yet.
     pub fn new(settings: Settings, seed: u64) -> Result<Router, SettingsError> {
@@ -442,6 +428,8 @@
             renew: class.fresh_ms > 0.0,
         });
         let (now, cost, quiet) = (self.now, self.mean_ms[req.ask.class], SILENT_MS + 2.0 * req.work_ms);
+        let gap = TRIAL_GAP_MS * self.spread();
+        let shared = f64::from(self.zone_routers());
         for id in [&cache, &source] {
             let window = self.set.cold_window_ms;
             let Some(c) = self.caches.get_mut(id) else { continue };
@@ -450,7 +438,7 @@
                 c.sent.pop_front();
             }
             if c.ejected || c.silent(now) {
-                c.next_trial = now + TRIAL_GAP_MS;
+                c.next_trial = now + gap * if c.role == Role::Edge { shared } else { 1.0 };
             }
             if cache == source {
                 break;
@@ -477,11 +465,15 @@
         req.deadline - self.now - 2.0 * self.set.tick_ms
     }
 
+    /// Evenly between a half and one and a half, by the seed: keeps routers out of step.
+    fn spread(&mut self) -> f64 {
+        self.seed = mix(self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
+        0.5 + (self.seed >> 11) as f64 / (1u64 << 53) as f64
+    }
+
     /// When a refused client may come back, spread so that the refused don't return as one wave.
     fn hint(&mut self) -> f64 {
-        self.seed = mix(self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
-        let spread = 0.5 + (self.seed >> 11) as f64 / (1u64 << 53) as f64;
-        (RETRY_AFTER_MS * spread).min(self.set.max_retry_after_ms)
+        (RETRY_AFTER_MS * self.spread()).min(self.set.max_retry_after_ms)
     }
 
     /// The final answer of a request that is given up. A refusal is said only where the rules allow it.
@@ -646,11 +638,15 @@
         }
         // Less than a request each: by turns. A turn is good for a window, so those of two may meet in one.
         let warming = Warming { rate: warming.rate * COLD_TURNS / COLD_USE, ..warming };
-        spent + cost <= turn * f64::from(warming.turns(age, window, turn, place, routers))
+        // What is left of a turn after a small request is good for a large one, or most of it would be lost.
+        spent + cost.min(turn / 2.0) <= turn * f64::from(warming.turns(age, window, turn, place, routers))
     }
 
     fn load(&self, c: &Cache) -> f64 {
-        c.open.of_all(self.now, f64::from(self.zone_routers())) / self.gives(c)
+        let counted = c.open.of_all(self.now, f64::from(self.zone_routers())) / self.gives(c);
+        // A cold one's warmth is the least it may be: what hits took tells more, and its budget guards it.
+        let seen = if self.warmth(c) < 1.0 { counted.min(c.pace) } else { counted };
+        counted + (seen - counted) * (-(self.now - c.paced) / PACE_SEEN_MS).exp2()
     }
 
     /// Whether its class lets this request be sent to that cache now.
@@ -788,7 +784,7 @@
                     req.failed.insert(source.clone());
                 }
             }
-            // Called off in silence: a box that answers now and then only is not well again with one answer.
+            // Called off in silence: one that answers now and then is not well again with one answer.
             Ending::Recalled if a.called_off => self.verdict(cache, SILENCE_BLAME, out),
             Ending::Superseded | Ending::Recalled => {}
             _ => {
@@ -901,7 +897,8 @@
             return;
         }
         out.push(Action::Timer { delay_ms: WATCH_MS, token: 0 });
-        let mut silent = BTreeSet::new();
+        let (mut silent, gap) =
+            (BTreeSet::new(), TRIAL_GAP_MS * f64::from(self.zone_routers()) * self.spread());
         for (&id, req) in self.reqs.iter_mut().filter(|(_, r)| !r.done) {
             let idem = self.set.classes[req.ask.class].effect == Effect::Idempotent;
             let least = SILENT_MS * TRIAL_PART + req.work_ms;
@@ -909,7 +906,7 @@
             for (n, a) in req.attempts.iter_mut().enumerate().filter(|(_, a)| due(a)) {
                 let Some(c) = self.caches.get_mut(&a.cache) else { continue };
                 if c.silent(self.now) {
-                    (a.called_off, c.next_trial) = (true, self.now + TRIAL_GAP_MS);
+                    (a.called_off, c.next_trial) = (true, self.now + gap);
                     req.failed.insert(a.cache.clone());
                     out.push(Action::Cancel { id, attempt: n as u32 });
                     silent.insert(a.cache.clone());
