--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -7,7 +7,7 @@
 use crate::cold::Warming;
 use crate::filter::{decode, encode, hash, Change, Filter, Hashes};
 use crate::place::{mix, score, word};
-use crate::share::{Crowd, Share};
+use crate::share::{Crowd, Gate};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // The design's own figures. Counters: some 16 for each key that a cache sees in a generation at 100/s.
@@ -171,16 +171,6 @@
     Write,
 }
 
-/// Fills under way, and how many the location may have.
-#[derive(Default)]
-struct Gate {
-    open: Share,
-    limit: f64,
-    /// Share of fills that were late or failed lately.
-    late: f64,
-    crowded: f64,
-}
-
 /// Target, source, and what is expected of them.
 type Plan = (CacheId, CacheId, Way);
 
@@ -428,8 +418,6 @@
             renew: class.fresh_ms > 0.0,
         });
         let (now, cost, quiet) = (self.now, self.mean_ms[req.ask.class], SILENT_MS + 2.0 * req.work_ms);
-        let gap = TRIAL_GAP_MS * self.spread();
-        let shared = f64::from(self.zone_routers());
         for id in [&cache, &source] {
             let window = self.set.cold_window_ms;
             let Some(c) = self.caches.get_mut(id) else { continue };
@@ -438,7 +426,7 @@
                 c.sent.pop_front();
             }
             if c.ejected || c.silent(now) {
-                c.next_trial = now + gap * if c.role == Role::Edge { shared } else { 1.0 };
+                self.tried(id);
             }
             if cache == source {
                 break;
@@ -577,6 +565,14 @@
         usable && !req.failed.contains(id) && self.has_room(c, req)
     }
 
+    /// Its next trial by this router: those of a location keep to `TRIAL_GAP_MS` together, and out of step.
+    fn tried(&mut self, id: &CacheId) {
+        let (spread, routers, now) = (self.spread(), f64::from(self.zone_routers()), self.now);
+        if let Some(c) = self.caches.get_mut(id) {
+            c.next_trial = now + TRIAL_GAP_MS * spread * if c.role == Role::Edge { routers } else { 1.0 };
+        }
+    }
+
     /// The others that do the same as it.
     fn fellows<'a>(&'a self, c: &'a Cache) -> impl Iterator<Item = &'a Cache> {
         let same = move |f: &&Cache| f.role == c.role && f.phase == Phase::In && f.tag != c.tag;
@@ -901,23 +897,25 @@
             return;
         }
         out.push(Action::Timer { delay_ms: WATCH_MS, token: 0 });
-        let (mut silent, gap) =
-            (BTreeSet::new(), TRIAL_GAP_MS * f64::from(self.zone_routers()) * self.spread());
+        let mut silent = BTreeSet::new();
         for (&id, req) in self.reqs.iter_mut().filter(|(_, r)| !r.done) {
             let idem = self.set.classes[req.ask.class].effect == Effect::Idempotent;
             let least = SILENT_MS * TRIAL_PART + req.work_ms;
             let due = |a: &Attempt| a.open && !a.called_off && idem && self.now > a.sent + least;
             for (n, a) in req.attempts.iter_mut().enumerate().filter(|(_, a)| due(a)) {
-                let Some(c) = self.caches.get_mut(&a.cache) else { continue };
+                let Some(c) = self.caches.get(&a.cache) else { continue };
                 if c.silent(self.now) {
-                    (a.called_off, c.next_trial) = (true, self.now + gap);
+                    a.called_off = true;
                     req.failed.insert(a.cache.clone());
                     out.push(Action::Cancel { id, attempt: n as u32 });
                     silent.insert(a.cache.clone());
                 }
             }
         }
-        silent.iter().for_each(|id| self.testify(id, Sign::Silent, SILENCE_SURE, out));
+        for id in &silent {
+            self.tried(id);
+            self.testify(id, Sign::Silent, SILENCE_SURE, out);
+        }
     }
 
     fn withdrawn(&mut self, id: RequestId, out: &mut Vec<Action>) {
--- a/crates/fernslip/src/share.rs
+++ b/crates/fernslip/src/share.rs
@@ -61,6 +61,19 @@
     }
 }
 
+/// Fills under way, and how many the location may have.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gate {
+    /// This router's part.
+    pub open: Share,
+    /// Of the whole location.
+    pub limit: f64,
+    /// Share of fills that were late or failed lately.
+    pub late: f64,
+    /// When one was, last.
+    pub crowded: f64,
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/fernslip/tests/fleet.rs
+++ b/crates/fernslip/tests/fleet.rs
@@ -239,7 +239,7 @@
         self.ids += 1;
         let (id, dice) = (RequestId(self.ids), mix(self.ids ^ 0xa5));
         // Most ask for a few hundred objects, some for what nobody else wants.
-        let object = if dice.is_multiple_of(8) { 1_000_000 + self.ids } else { mix(dice) % 300 };
+        let object = if dice % 8 == 0 { 1_000_000 + self.ids } else { mix(dice) % 300 };
         let class = (object % 2) as usize;
         self.class_of.insert(id, class);
         self.object_of.insert(id, object);
