Spread by the seed when a front asks the event bus again

Seen: `RETRY` in bus.rs was 200 ms for every front. Change: 100 to 300 ms, drawn from the front's seed and the number of the try, so that the mean is as before and what is missed is asked for before it counts as told. Test: of 100 seeds no more than a quarter fall into a tenth of the mean, at each of 20 tries.

--- a/crates/front/src/bus.rs
+++ b/crates/front/src/bus.rs
@@ -7,6 +7,7 @@
 use fernslip::json::{self, JsonError, Names};
 use fernslip::{CacheId, Entry, ObjectId, Phase};
 use may::net::TcpStream;
+use rand::{Rng, SeedableRng};
 use serde_json::Value;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -17,10 +18,18 @@
 /// A line comes each second; without one for so long the connection is dead. Two lines may be late; what a bus
 /// that stops would have told counts as told after 4 s, so that a new one must be asked well before.
 const SILENCE: Duration = Duration::from_millis(2500);
+/// Between the end of a connection and the next, on average; each front's own times are spread by half.
 const RETRY: Duration = Duration::from_millis(200);
 /// The whole list of the largest deployment is a small part of this.
 const MOST_LINE: usize = 4 << 20;
 
+/// How long to wait before attempt number `n` to come back. Guards the bus against all fronts of a fleet, which find it
+/// gone in the same moment and would come back in the same, each time.
+fn retry_after(seed: u64, n: u64) -> Duration {
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed.wrapping_add(n));
+    RETRY.mul_f64(rng.random_range(0.5..1.5))
+}
+
 /// One event, read.
 #[derive(Debug)]
 pub enum Event {
@@ -169,6 +178,7 @@
 /// The way to the bus: its address, which may change while the front runs, and the present connection.
 pub struct Bus {
     state: Mutex<State>,
+    seed: u64,
 }
 
 struct State {
@@ -178,10 +188,10 @@
 }
 
 impl Bus {
-    /// A bus at that address; `None`: there is none to follow.
-    pub fn new(addr: Option<SocketAddr>) -> Bus {
+    /// A bus at that address; `None`: there is none to follow. The seed spreads when it is asked again.
+    pub fn new(addr: Option<SocketAddr>, seed: u64) -> Bus {
         let addr = addr.unwrap_or(([0, 0, 0, 0], 0).into());
-        Bus { state: Mutex::new(State { addr, link: Arc::default(), heard: None }) }
+        Bus { state: Mutex::new(State { addr, link: Arc::default(), heard: None }), seed }
     }
 
     /// The bus has another address from now on. The connection to the old one ends at once: the old bus may stay
@@ -229,13 +239,32 @@
 
     /// Follows the bus for good, from the event after `offset`.
     pub fn run(&self, front: &Shared, mut offset: u64) {
-        loop {
+        for n in 0.. {
             let addr = lock(&self.state).addr;
             let why = self.follow(front, addr, &mut offset);
             tracing::info!(kind = %"bus", %addr, reason = %why.code(), offset, "end");
             if why != Reason::Moved {
-                may::coroutine::sleep(RETRY);
+                may::coroutine::sleep(retry_after(self.seed, n));
             }
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn fronts_that_lost_the_bus_together_come_back_apart() {
+        for n in 0..20 {
+            let mut waits: Vec<_> = (0..100).map(|seed| retry_after(seed * 7919, n)).collect();
+            waits.sort();
+            assert!(waits[0] >= RETRY / 2 && waits[99] <= RETRY * 3 / 2);
+            // In no tenth of the time are there more than a quarter of them.
+            let tenth = RETRY / 10;
+            let most = waits.iter().map(|w| waits.iter().filter(|o| **o >= *w && **o < *w + tenth).count());
+            assert!(most.max().is_some_and(|m| m <= 25), "{waits:?}");
+        }
+        assert_eq!(retry_after(1, 2), retry_after(1, 2));
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -281,7 +281,7 @@
         talk: talk.clone(),
         upstream,
         server: server::Server::new(budget, classes),
-        bus: Bus::new(config.bus),
+        bus: Bus::new(config.bus, config.seed),
         listed: AtomicBool::new(false),
         leaving: AtomicBool::new(false),
     });
