Count odd messages of peers and let them change nothing

Seen: of a datagram from no peer, or one that made no sense, nothing was told, and a piece of filter changes that broke off was taken as far as it went; its sender counted as a router of the location before the message was read. At fault: `heard` in policy.rs, `decode` in filter.rs, `run` in peers.rs. Change: the wire of messages is a codec of its own (`message.rs`), read whole or not at all. Messages that make no sense or come from no router of the tier are counted in the module, datagrams from no peer's address or too long in the front; the housekeeper warns with the total when it rises. Test: written and cut messages in `message.rs`; `odd_messages_do_no_harm` asserts the count.

--- a/crates/fernslip/src/facade.rs
+++ b/crates/fernslip/src/facade.rs
@@ -334,6 +334,11 @@
         self.feed(now_ms, Event::Peer { from, data });
     }
 
+    /// How many messages of peers made no sense or came from no router of the tier; they changed nothing.
+    pub fn odd_messages(&self) -> u64 {
+        self.lock().router.odd_messages()
+    }
+
     /// How many requests are open.
     pub fn open(&self) -> usize {
         self.lock().open.len()
--- a/crates/fernslip/src/filter.rs
+++ b/crates/fernslip/src/filter.rs
@@ -197,11 +197,12 @@
     pieces
 }
 
-/// Reads one piece as far as it makes sense for a filter of `counters`; anything else ends it early.
+/// Reads one piece, whole or not at all, for a filter of `counters`. A piece that makes no sense has no changes.
 pub fn decode(mut data: &[u8], counters: usize) -> Vec<Change> {
     let (mut out, mut last) = (Vec::new(), 0u32);
-    while let Some(v) = take(&mut data) {
-        let Some(at) = last.checked_add(v >> 1).filter(|&at| (at as usize) < counters) else { break };
+    while !data.is_empty() {
+        let place = take(&mut data).and_then(|v| Some((v, last.checked_add(v >> 1)?)));
+        let Some((v, at)) = place.filter(|p| (p.1 as usize) < counters) else { return Vec::new() };
         out.push(Change { at, up: v & 1 == 1 });
         last = at;
     }
--- a/crates/fernslip/src/lib.rs
+++ b/crates/fernslip/src/lib.rs
@@ -110,6 +110,7 @@
 pub mod facade;
 pub mod filter;
 pub mod json;
+mod message;
 mod place;
 mod policy;
 mod share;
--- /dev/null
+++ b/crates/fernslip/src/message.rs
@@ -0,0 +1,63 @@
+//! What routers tell each other, as bytes: a version, the sender's location, and a greeting or one cache's changes.
+
+use crate::filter::{decode, Change};
+
+/// Bytes of a cache's tag in messages; a mistaken one is a wrong guess only.
+pub const TAG_BYTES: usize = 3;
+const VERSION: u8 = 2;
+
+/// A message that makes sense.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Message {
+    /// Says which location its sender serves; whether that is asked back.
+    Greeting(bool),
+    /// What changed in the filter of the cache with that tag.
+    Changes([u8; TAG_BYTES], Vec<Change>),
+}
+
+/// A greeting.
+pub fn greeting(zone: u8, asks: bool) -> Vec<u8> {
+    vec![VERSION, zone, u8::from(asks)]
+}
+
+/// What comes before the coded changes of a cache.
+pub fn head(zone: u8, tag: [u8; TAG_BYTES]) -> Vec<u8> {
+    [&[VERSION, zone][..], &tag].concat()
+}
+
+/// Reads a message and its sender's location, for filters of `counters`; `None`: it makes no sense.
+pub fn read(data: &[u8], counters: usize) -> Option<(u8, Message)> {
+    let [VERSION, zone, rest @ ..] = data else { return None };
+    let message = match rest {
+        [asks @ (0 | 1)] => Message::Greeting(*asks == 1),
+        [a, b, c, piece @ ..] => {
+            let changes = decode(piece, counters);
+            (!changes.is_empty()).then_some(Message::Changes([*a, *b, *c], changes))?
+        }
+        _ => return None,
+    };
+    Some((*zone, message))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::filter::encode;
+
+    #[test]
+    fn what_is_written_is_read_and_what_is_cut_or_odd_is_not() {
+        let changes: Vec<Change> = (0..60).map(|n| Change { at: n * 9, up: n % 4 > 0 }).collect();
+        let piece = encode(&changes, 251).remove(0);
+        let data = [head(7, [1, 2, 3]), piece].concat();
+        assert_eq!(read(&data, 16384), Some((7, Message::Changes([1, 2, 3], changes))));
+        for asks in [false, true] {
+            assert_eq!(read(&greeting(7, asks), 16384), Some((7, Message::Greeting(asks))));
+        }
+        let odd: [&[u8]; 7] =
+            [&[], &[2], &[2, 7], &[2, 7, 2], &[2, 7, 1, 2, 3], &[3, 7, 1], &[2, 7, 1, 2, 3, 255, 255]];
+        for data in odd {
+            assert_eq!(read(data, 16384), None, "{data:?}");
+        }
+        assert_eq!(read(&data, 16), None, "places that the filter does not have");
+    }
+}
--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -5,7 +5,8 @@
 
 use crate::api::*;
 use crate::cold::Warming;
-use crate::filter::{decode, encode, hash, Change, Filter, Hashes};
+use crate::filter::{encode, hash, Change, Filter, Hashes};
+use crate::message::{self, Message};
 use crate::place::{mix, score, word};
 use crate::share::{Crowd, Gate};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -18,8 +19,6 @@
 /// the few a second that one of many routers sees, that outlasts the generations.
 const SYNC_REQUESTS: u32 = 100;
 const MESSAGE_BYTES: usize = 256;
-const MESSAGE_VERSION: u8 = 2;
-const TAG_BYTES: usize = 3; // of a cache's tag, in messages: a mistaken one is a wrong guess only
 /// Purges, and changes of a cache not yet told: beyond it the oldest purge bounds all objects instead, and
 /// changes are not told.
 const MAX_NOTED: usize = 4096;
@@ -215,6 +214,7 @@
     retries: f64,
     mean_ms: Vec<f64>,
     witness: bool,
+    odd: u64,
 }
 
 impl Router {
@@ -242,6 +242,7 @@
             retries: RETRIES_SAVED,
             mean_ms: vec![0.0; n],
             witness: false,
+            odd: 0,
         })
     }
 
@@ -946,7 +947,7 @@
     }
 
     fn greeting(&self, asks: bool) -> Vec<u8> {
-        vec![MESSAGE_VERSION, self.set.zone as u8, u8::from(asks)]
+        message::greeting(self.set.zone as u8, asks)
     }
 
     /// Sends the location's routers what changed in the filters since the last time.
@@ -956,8 +957,8 @@
             if self.mates.is_empty() {
                 continue;
             }
-            let head =
-                [&[MESSAGE_VERSION, self.set.zone as u8][..], &c.tag.to_be_bytes()[..TAG_BYTES]].concat();
+            let tag = c.tag.to_be_bytes();
+            let head = message::head(self.set.zone as u8, [tag[0], tag[1], tag[2]]);
             for piece in encode(&changes, MESSAGE_BYTES - head.len()) {
                 let data = [head.clone(), piece].concat();
                 out.extend(self.mates.iter().map(|&to| Action::Tell { to, data: data.clone() }));
@@ -967,28 +968,34 @@
 
     /// Takes a message: it shows its sender's location, and brings a mate's changes or is a greeting.
     fn heard(&mut self, from: u32, data: &[u8], out: &mut Vec<Action>) {
-        let [MESSAGE_VERSION, zone, rest @ ..] = data else { return };
-        if !self.set.peers
-            || *zone != self.set.zone as u8
-            || from == self.set.slot
-            || from >= self.set.routers
-        {
+        let known = self.set.peers && from != self.set.slot && from < self.set.routers;
+        let Some((zone, message)) = message::read(data, COUNTERS).filter(|_| known) else {
+            // Malformed or foreign: counted, and it changes nothing else.
+            self.odd += 1;
+            return;
+        };
+        if zone != self.set.zone as u8 {
             self.mates.remove(&from);
             return;
         }
         self.mates.insert(from);
-        let Some((tag, piece)) = rest.split_first_chunk::<TAG_BYTES>() else {
-            if rest == [1] {
-                out.push(Action::Tell { to: from, data: self.greeting(false) });
+        match message {
+            Message::Greeting(true) => out.push(Action::Tell { to: from, data: self.greeting(false) }),
+            Message::Greeting(false) => {}
+            Message::Changes(tag, changes) => {
+                let named = |c: &&mut Cache| c.tag.to_be_bytes().starts_with(&tag) && c.phase == Phase::In;
+                if let Some(c) = self.caches.values_mut().find(named) {
+                    c.filter.apply(&changes);
+                }
             }
-            return;
-        };
-        let named = |c: &&mut Cache| c.tag.to_be_bytes().starts_with(tag) && c.phase == Phase::In;
-        if let Some(c) = self.caches.values_mut().find(named) {
-            c.filter.apply(&decode(piece, COUNTERS));
         }
     }
 
+    /// How many messages made no sense or came from no router of the tier.
+    pub fn odd_messages(&self) -> u64 {
+        self.odd
+    }
+
     /// How many requests, purges and untold filter changes are held: for watching memory.
     pub fn held(&self) -> (usize, usize, usize) {
         (self.reqs.len(), self.purges.len(), self.caches.values().map(|c| c.changes.len()).sum())
--- a/crates/fernslip/tests/rules.rs
+++ b/crates/fernslip/tests/rules.rs
@@ -283,6 +283,11 @@
     }
     let noise = r.event(Event::Peer { from: 9, data: vec![2, 1, 1] });
     assert!(noise.is_empty(), "a number beyond the stated ones gets no answer: {noise:?}");
+    let odd = r.router.odd_messages();
+    assert!(odd > 6, "{odd} were counted");
+    r.event(Event::Peer { from: 0, data: vec![99; 40] });
+    r.event(Event::Peer { from: 99, data: vec![2, 1, 1] });
+    assert_eq!(r.router.odd_messages(), odd + 2);
     for o in 0..50 {
         let s = r.serve(o, 3);
         assert!(s.cache.starts_with('c') && s.cache != s.source);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -171,6 +171,8 @@
     pub server: server::Server,
     /// Gossip with other fronts, where there is any.
     pub talk: Option<Arc<Talk>>,
+    /// Messages between fronts, where there are any.
+    pub peers: Option<Arc<Peers>>,
     /// The event bus.
     pub bus: Bus,
     /// The list of machines is held.
@@ -186,6 +188,12 @@
         }
     }
 
+    /// Messages of peers that were dropped: from no peer, too long, or that made no sense.
+    fn strange(&self) -> u64 {
+        let odd: u64 = self.lanes.all().iter().map(|l| l.dispatcher.odd_messages()).sum();
+        self.peers.as_ref().map_or(0, |p| p.foreign()) + odd
+    }
+
     /// Whether new clients are welcome.
     pub fn is_well(&self) -> bool {
         self.listed.load(Ordering::Acquire) && !self.leaving.load(Ordering::Acquire)
@@ -281,6 +289,7 @@
         talk: talk.clone(),
         upstream,
         server: server::Server::new(budget, classes),
+        peers: peers.clone(),
         bus: Bus::new(config.bus, config.seed),
         listed: AtomicBool::new(false),
         leaving: AtomicBool::new(false),
@@ -353,7 +362,7 @@
 /// Sweeps now and then, takes up new configurations, and sees the front out.
 fn keep_house(front: &Shared, leave: &AtomicBool, mut reload: Reload, longest: Duration) {
     let mut left: Option<Instant> = None;
-    let mut lost = 0;
+    let (mut lost, mut odd) = (0, 0);
     loop {
         may::coroutine::sleep(SWEEP);
         let dropped = log::dropped();
@@ -361,6 +370,11 @@
             tracing::warn!(dropped = dropped - lost, total = dropped, "log");
             lost = dropped;
         }
+        let strange = front.strange();
+        if strange > odd {
+            tracing::warn!(dropped = strange - odd, total = strange, "odd messages of peers");
+            odd = strange;
+        }
         front.upstream.sweep();
         front.bus.sweep();
         match reload.poll() {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -3,6 +3,7 @@
 use crate::Shared;
 use may::net::UdpSocket;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,12 +16,13 @@
     socket: UdpSocket,
     all: Option<SocketAddr>,
     each: Vec<SocketAddr>,
+    foreign: AtomicU64,
 }
 
 impl Peers {
     /// Takes the address where messages come in.
     pub fn bind(at: SocketAddr, each: Vec<SocketAddr>, all: Option<SocketAddr>) -> std::io::Result<Peers> {
-        Ok(Peers { socket: UdpSocket::bind(at)?, all, each })
+        Ok(Peers { socket: UdpSocket::bind(at)?, all, each, foreign: AtomicU64::new(0) })
     }
 
     fn send(&self, to: Option<&SocketAddr>, data: &[u8]) {
@@ -54,7 +56,14 @@
                 for lane in front.lanes.all() {
                     lane.dispatcher.heard(front.clock.now(), slot as u32, data[..n].to_vec());
                 }
+            } else {
+                self.foreign.fetch_add(1, Ordering::Relaxed);
             }
         }
     }
+
+    /// How many datagrams came from no peer's address or were too long; they were dropped.
+    pub fn foreign(&self) -> u64 {
+        self.foreign.load(Ordering::Relaxed)
+    }
 }
