--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -620,10 +620,12 @@
     /// Whether a cold machine can be sent one more within its budget, shared among the routers that reach it.
     fn has_room(&self, c: &Cache, req: &Req) -> bool {
         let Some(warming) = self.warming(c) else { return true };
-        let mates = self.mates.iter().filter(|&&m| m < self.set.slot).count() as u32;
+        // By number among all; in a location by the order of those heard, or by chance while some were not.
+        let near = self.zone_routers();
         let (place, routers) = match c.role {
             Role::Parent => (self.set.slot, self.set.routers.max(1)),
-            _ => (mates, self.zone_routers()),
+            _ if self.mates.len() + 1 < near as usize => (mix(self.set.slot.into()) as u32, near),
+            _ => (self.mates.iter().filter(|&&m| m < self.set.slot).count() as u32, near),
         };
         let (window, age) = (self.set.cold_window_ms, self.now - c.born);
         let spent: f64 = c.sent.iter().filter(|s| s.0 >= self.now - window).map(|s| s.1).sum();
--- a/crates/fernslip/tests/fleet.rs
+++ b/crates/fernslip/tests/fleet.rs
@@ -112,9 +112,15 @@
 
 impl World {
     fn new() -> World {
-        let routers: Vec<Router> = (0..ZONES as u32 * PER_ZONE)
-            .map(|slot| Router::new(fleet_settings(zone_of(slot), slot), u64::from(slot) + 1).expect("sound"))
-            .collect();
+        World::talking(true)
+    }
+
+    fn talking(peers: bool) -> World {
+        let router = |slot| {
+            let set = Settings { peers, ..fleet_settings(zone_of(slot), slot) };
+            Router::new(set, u64::from(slot) + 1).expect("sound")
+        };
+        let routers: Vec<Router> = (0..ZONES as u32 * PER_ZONE).map(router).collect();
         let n = routers.len() as u32;
         let mut w = World {
             routers,
@@ -422,6 +428,26 @@
     assert!(w.served as f64 > 0.8 * total, "{} of {total} served", w.served);
 }
 
+/// Where routers may not talk they do not know their places at a box of their location, and still share its turns.
+#[test]
+fn without_messages_cold_boxes_keep_to_their_budgets() {
+    let mut w = World::talking(false);
+    for z in 1..=ZONES {
+        w.list(103_000.0, 500.0, (0..3).map(|b| Entry { born_ms: 103_000.0, ..boxed(z, b) }).collect());
+    }
+    w.run(112_000.0);
+    w.all_answered();
+    assert!(w.messages.is_empty());
+    let set = fleet_settings(1, 0);
+    let mut used = 0.0;
+    for z in 1..=ZONES {
+        for b in 0..3 {
+            used += w.cold_use(&boxed(z, b).cache.0, 103_000.0, &set, false) / (3 * ZONES) as f64;
+        }
+    }
+    assert!(used > 0.1, "{used}");
+}
+
 /// Every copy is void at once, at all routers in nearly the same moment, while a parent warms up.
 #[test]
 fn a_purge_of_everything_does_not_push_a_cold_parent_over() {
--- a/crates/front/src/bus.rs
+++ b/crates/front/src/bus.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -155,7 +156,10 @@
             apply(front, e);
             tracing::info!("bus offset={number}");
         }
-        Err(e) => tracing::warn!("bus: event {number}: {e}"),
+        Err(e) => {
+            front.bus.odd.fetch_add(1, Ordering::Relaxed);
+            tracing::warn!("bus: event {number}: {e}");
+        }
     }
     Ok(())
 }
@@ -179,6 +183,7 @@
 pub struct Bus {
     state: Mutex<State>,
     seed: u64,
+    odd: AtomicU64,
 }
 
 struct State {
@@ -191,7 +196,11 @@
     /// A bus at that address; `None`: there is none to follow. The seed spreads when it is asked again.
     pub fn new(addr: Option<SocketAddr>, seed: u64) -> Bus {
         let addr = addr.unwrap_or(([0, 0, 0, 0], 0).into());
-        Bus { state: Mutex::new(State { addr, link: Arc::default(), heard: None }), seed }
+        Bus {
+            state: Mutex::new(State { addr, link: Arc::default(), heard: None }),
+            seed,
+            odd: AtomicU64::new(0),
+        }
     }
 
     /// The bus has another address from now on. The connection to the old one ends at once: the old bus may stay
@@ -242,7 +251,10 @@
         for n in 0.. {
             let addr = lock(&self.state).addr;
             let why = self.follow(front, addr, &mut offset);
-            tracing::info!(kind = %"bus", %addr, reason = %why.code(), offset, "end");
+            // Lines and events that could not be used, since the start.
+            let malformed = u64::from(why == Reason::Malformed);
+            let odd = self.odd.fetch_add(malformed, Ordering::Relaxed) + malformed;
+            tracing::info!(kind = %"bus", %addr, reason = %why.code(), offset, odd, "end");
             if why != Reason::Moved {
                 may::coroutine::sleep(retry_after(self.seed, n));
             }
