Share the retries that are saved for a loss among a location's routers

Seen: each router saves 20 retries for a sudden loss, so that 100 fronts may repeat 2,000 requests in its first moment. At fault: `RETRIES_SAVED` in policy.rs, a bucket for each router. Change: the bucket is of the location; a router holds its part, and one at the least. Test: of 30 attempts that break off at once, 20 are repeated by a router alone, 4 by one of five, 1 by one of sixty.

--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -90,10 +90,9 @@
 const WATCH_MS: f64 = 50.0; // between looks for silent machines
 const LEAST_TRY_MS: f64 = 30.0; // less is not worth an attempt
 const RETRIES_PER_REQUEST: f64 = 0.25; // retry budget, a token bucket
-const RETRIES_SAVED: f64 = 20.0; // its size, for a sudden loss
+const RETRIES_SAVED: f64 = 20.0; // its size, for a sudden loss, over all routers of the location
 const RETRY_AFTER_MS: f64 = 400.0; // hint, spread by half
-/// Copies must be younger than a purge by this much besides the tick.
-const PURGE_MARGIN_MS: f64 = 5.0;
+const PURGE_MARGIN_MS: f64 = 5.0; // copies must be younger than a purge by so much, besides the tick
 const LOG_EVERY_MS: f64 = 5_000.0;
 const NO_SOURCE: &str = "no source is up";
 // Ranks: keys counted this often lately are kept at the higher ranks.
@@ -380,7 +379,8 @@
         let deadline = self.now + budget;
         let aim_ms = (class.aim_ms + class.aim_stretch * work_ms).min(class.deadline_ms);
         let id = ask.id;
-        self.retries = (self.retries + RETRIES_PER_REQUEST).min(RETRIES_SAVED);
+        let saved = (RETRIES_SAVED / f64::from(self.zone_routers())).max(1.0);
+        self.retries = (self.retries + RETRIES_PER_REQUEST).min(saved);
         let (attempts, failed) = (Vec::new(), BTreeSet::new());
         let req = Req { ask, key, deadline, work_ms, aim_ms, attempts, failed, done: false };
         self.dispatch(req, out);
@@ -971,8 +971,8 @@
     /// Takes a message: it shows its sender's location, and brings a mate's changes or is a greeting.
     fn heard(&mut self, from: u32, data: &[u8], out: &mut Vec<Action>) {
         let known = self.set.peers && from != self.set.slot && from < self.set.routers;
+        // Malformed or foreign: counted, and it changes nothing else.
         let Some((zone, message)) = message::read(data, COUNTERS).filter(|_| known) else {
-            // Malformed or foreign: counted, and it changes nothing else.
             self.odd += 1;
             return;
         };
--- a/crates/fernslip/tests/failures.rs
+++ b/crates/fernslip/tests/failures.rs
@@ -456,3 +456,20 @@
     }
     assert_eq!(r.serve(1, 1).cache, home, "after some answers it is home again");
 }
+
+/// A hundred routers had twenty retries each saved, and could send 2,000 requests again in the moment of a loss.
+#[test]
+fn saved_retries_are_a_share_of_the_locations() {
+    let again = |routers: u32| {
+        let set = Settings { routers: 2 * routers, zone_routers: vec![0, routers, routers], ..settings() };
+        let mut r = Rig::with(set);
+        r.list(fleet().into_iter().map(|e| Entry { weight: 10_000.0, ..e }).collect());
+        // Each of its own home or not: what counts is that all break off in one moment.
+        let open: Vec<Sent> = (0..30).filter_map(|o| sent(&r.ask_with(o, 0, 1.0))).collect();
+        assert!(open.len() > 20, "{}", open.len());
+        r.now += 5.0;
+        open.iter().filter(|s| sent(&r.end(s, 0, Ending::Severed, 0)).is_some()).count()
+    };
+    let (alone, of_five, of_many) = (again(1), again(5), again(60));
+    assert_eq!((alone, of_five, of_many), (20, 4, 1));
+}
