Take the clients' socket handed over in RELAY_PASSED_SOCKET; share the peers' port

Design: the handed descriptor is taken by `listenfd` (our crates stay free of unsafe) and checked with socket2 to be a listening TCP socket; a bad one is logged and we bind as before. may's own listener can't adopt a descriptor without unsafe, so clients' sockets are std sockets waited on through may's CoIo; Link takes either kind. Not taken: a small crate that allows unsafe for from_raw_fd, against the house rule. Peers bind with SO_REUSEPORT so both processes of a hand-over hold the port. On SIGTERM a front on a handed socket stops calling accept at once instead of accepting and dropping for 1 s, which would take the new process's clients.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod keyfile;
 pub mod lanes;
 pub mod link;
+pub mod listen;
 pub mod log;
 pub mod msgpack_rpc;
 pub mod peers;
@@ -35,7 +36,6 @@
 use fernslip_site::Site;
 use gossip::Talk;
 use lanes::{Lanes, Machines};
-use may::net::TcpListener;
 use may::sync::Blocker;
 use peers::Peers;
 use plan::Plan;
@@ -249,7 +249,8 @@
         }
         None => None,
     };
-    let listener = TcpListener::bind(config.listen).map_err(|e| StartError::Bind(config.listen, e))?;
+    let (listener, origin) =
+        listen::clients(config.listen).map_err(|e| StartError::Bind(config.listen, e))?;
     let listen = listener.local_addr().unwrap_or(config.listen);
     let machines = Arc::new(Machines::default());
     let effects: Arc<[Effect]> = config.settings.classes.iter().map(|c| c.effect).collect();
@@ -322,9 +323,12 @@
         let f = front.clone();
         spawn(move || p.run(&f));
     }
+    if origin == listen::Origin::Passed {
+        tracing::info!("the clients' socket is the one handed over in {}", listen::PASSED);
+    }
     tracing::info!("front {} listens on {listen}", config.name);
     let f = front.clone();
-    spawn(move || f.server.run(&f, &listener));
+    spawn(move || f.server.run(&f, &listener, origin));
     let f = front.clone();
     spawn(move || loop {
         let next = f.lanes.all().iter().filter_map(|l| l.tick(&f.clock)).reduce(f64::min);
@@ -333,7 +337,9 @@
         );
     });
     let housekeeper = may::go!(move || {
-        keep_house(&front, &leave, reload, Duration::from_secs_f64(longest / 1000.0));
+        // A handed socket is served by the process that replaces this one: nothing more is taken here.
+        let coming = if origin == listen::Origin::Passed { Duration::ZERO } else { STILL_COMING };
+        keep_house(&front, &leave, reload, coming, Duration::from_secs_f64(longest / 1000.0));
     });
     let _ = housekeeper.join();
     Ok(())
@@ -360,7 +366,7 @@
 }
 
 /// Sweeps now and then, takes up new configurations, and sees the front out.
-fn keep_house(front: &Shared, leave: &AtomicBool, mut reload: Reload, longest: Duration) {
+fn keep_house(front: &Shared, leave: &AtomicBool, mut reload: Reload, coming: Duration, longest: Duration) {
     let mut left: Option<Instant> = None;
     let (mut lost, mut odd) = (0, 0);
     loop {
@@ -383,7 +389,7 @@
             None => {}
         }
         let since = left.map(|at| at.elapsed());
-        let ending = since.is_some_and(|t| t >= STILL_COMING);
+        let ending = since.is_some_and(|t| t >= coming);
         front.server.sweep(ending);
         if left.is_none() && leave.load(Ordering::Acquire) {
             front.leaving.store(true, Ordering::Release);
@@ -395,7 +401,7 @@
         }
         if ending {
             front.server.close();
-            if front.server.is_done() || since.is_some_and(|t| t >= STILL_COMING + longest) {
+            if front.server.is_done() || since.is_some_and(|t| t >= coming + longest) {
                 tracing::info!("left");
                 return;
             }
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -6,7 +6,7 @@
 
 use crate::buffer::Buffer;
 use crate::log::Reason;
-use may::io::{WaitIo, WaitIoWaker};
+use may::io::{CoIo, WaitIo, WaitIoWaker};
 use may::net::TcpStream;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Write};
@@ -36,8 +36,46 @@
     over: bool,
 }
 
+/// A connection's socket: one that the front dialled, or one that it accepted on a listener that it was handed
+/// (which may's own types can't adopt without `unsafe`).
+pub enum Stream {
+    /// Dialled, or accepted on a listener of may's.
+    Made(TcpStream),
+    /// Accepted on a listener of the standard library's, and waited on by may.
+    Taken(CoIo<std::net::TcpStream>),
+}
+
+impl From<TcpStream> for Stream {
+    fn from(s: TcpStream) -> Stream {
+        Stream::Made(s)
+    }
+}
+
+impl Stream {
+    fn inner(&self) -> &std::net::TcpStream {
+        match self {
+            Stream::Made(s) => s.inner(),
+            Stream::Taken(s) => s.inner(),
+        }
+    }
+
+    fn waker(&self) -> WaitIoWaker {
+        match self {
+            Stream::Made(s) => s.waker(),
+            Stream::Taken(s) => s.waker(),
+        }
+    }
+
+    fn wait_io(&self) {
+        match self {
+            Stream::Made(s) => s.wait_io(),
+            Stream::Taken(s) => s.wait_io(),
+        };
+    }
+}
+
 struct Wire {
-    stream: TcpStream,
+    stream: Stream,
     waker: WaitIoWaker,
 }
 
@@ -50,8 +88,9 @@
 
 impl Link {
     /// Gives the link its stream and writes what has waited for it.
-    pub fn up(&self, stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
+    pub fn up(&self, stream: impl Into<Stream>) {
+        let stream = stream.into();
+        let _ = stream.inner().set_nodelay(true);
         let waker = stream.waker();
         let _ = self.wire.set(Wire { stream, waker });
         self.flush();
@@ -181,6 +220,6 @@
 
     /// Shuts the stream for both sides.
     pub fn shut(&self) -> io::Result<()> {
-        self.wire.get().map_or(Ok(()), |w| w.stream.shutdown(std::net::Shutdown::Both))
+        self.wire.get().map_or(Ok(()), |w| w.stream.inner().shutdown(std::net::Shutdown::Both))
     }
 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -1,8 +1,10 @@
 //! Short messages between the fronts of a tier, as datagrams.
 
 use crate::Shared;
-use may::net::UdpSocket;
-use std::net::SocketAddr;
+use may::io::{CoIo, WaitIo};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,16 +15,35 @@
 
 /// This front's end of it.
 pub struct Peers {
-    socket: UdpSocket,
+    socket: CoIo<UdpSocket>,
     all: Option<SocketAddr>,
     each: Vec<SocketAddr>,
     foreign: AtomicU64,
 }
 
 impl Peers {
-    /// Takes the address where messages come in.
+    /// Takes the address where messages come in. It is shared with a process that replaces this one while both
+    /// run (`SO_REUSEPORT`): the kernel gives each peer's datagrams to one of them, and all to the one that stays.
     pub fn bind(at: SocketAddr, each: Vec<SocketAddr>, all: Option<SocketAddr>) -> std::io::Result<Peers> {
-        Ok(Peers { socket: UdpSocket::bind(at)?, all, each, foreign: AtomicU64::new(0) })
+        let socket = Socket::new(Domain::for_address(at), Type::DGRAM, Some(Protocol::UDP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_reuse_port(true)?;
+        socket.bind(&at.into())?;
+        let socket = CoIo::new(UdpSocket::from(socket)).map_err(std::io::Error::from)?;
+        Ok(Peers { socket, all, each, foreign: AtomicU64::new(0) })
+    }
+
+    /// The next datagram, waiting in the coroutine for one.
+    fn receive(&self, data: &mut [u8]) -> std::io::Result<(usize, SocketAddr)> {
+        loop {
+            match self.socket.inner().recv_from(data) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.socket.wait_io();
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                other => return other,
+            }
+        }
     }
 
     fn send(&self, to: Option<&SocketAddr>, data: &[u8]) {
@@ -46,7 +67,7 @@
     pub fn run(&self, front: &Arc<Shared>) {
         let mut data = [0; MOST_BYTES + 1];
         loop {
-            let Ok((n, from)) = self.socket.recv_from(&mut data) else {
+            let Ok((n, from)) = self.receive(&mut data) else {
                 // An error of one datagram, such as a port that nobody has: the next may be fine.
                 may::coroutine::sleep(AFTER_ERROR);
                 continue;
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -4,14 +4,15 @@
 use crate::buffer::Buffer;
 use crate::call;
 use crate::lanes::Lane;
+use crate::link::Stream;
 use crate::link::{lock, Link};
+use crate::listen::{Listener, Origin};
 use crate::log::Reason;
 use crate::msgpack_rpc::{self as rpc, Fields, Message};
 use crate::relay::{self, Answer};
 use crate::spawn::spawn;
 use crate::Shared;
 use fernslip::{Class, RequestId};
-use may::net::{TcpListener, TcpStream};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -261,12 +262,16 @@
         }
     }
 
-    /// Takes clients in until the front ends.
-    pub fn run(&self, front: &Arc<Shared>, listener: &TcpListener) {
+    /// Takes clients in until the front ends. A socket of the front's own is still accepted on once it is closed,
+    /// and what comes is closed at once, so that clients learn it; a handed one is left to the other process.
+    pub fn run(&self, front: &Arc<Shared>, listener: &Listener, origin: Origin) {
+        let never = AtomicBool::new(false);
+        let stop = if origin == Origin::Passed { &self.closed } else { &never };
         loop {
-            match listener.accept() {
-                Ok((stream, _)) if self.closed.load(Ordering::Acquire) => drop(stream),
-                Ok((stream, peer)) => {
+            match listener.accept(stop) {
+                Ok(None) => return,
+                Ok(Some((stream, _))) if self.closed.load(Ordering::Acquire) => drop(stream),
+                Ok(Some((stream, peer))) => {
                     if !self.make_place() {
                         tracing::info!(kind = %"client", %peer, reason = %Reason::TooMany.code(), "end");
                         continue;
@@ -304,10 +309,10 @@
         front: &Arc<Shared>,
         number: u64,
         client: &Arc<Client>,
-        stream: TcpStream,
+        stream: may::io::CoIo<std::net::TcpStream>,
         peer: SocketAddr,
     ) {
-        client.link.up(stream);
+        client.link.up(Stream::Taken(stream));
         let why = client.link.run(|buffer| client.take(front, buffer));
         let _ = client.link.shut();
         lock(&self.clients).remove(&number);
