Open an operators' door: readiness, figures, exclusions by hand, evacuate

The front had no door.

Design: the door is a std listener on $RELAY_OPS (else `ops`) with a thread a caller, at most 32, each closed after 2 s without a whole line or past 512 bytes, so it never waits on the serving path. Not taken: a coroutine on the serving worker, which a busy front would make late. Exclusions are the module's: a Hand set in the facade rewrites every list, In to Draining, until include; two out need one back; unknown ids get a no. The set is written to $TMPDIR by write-and-rename for a process that replaces this one; a foreign or broken file is logged with its line and ignored. Evacuate turns readiness no at once; after 0.3 s connections close as they fall idle, and after their last answer. Figures are counted where requests end; sends where an attempt may have run.

--- a/crates/fernslip/src/facade.rs
+++ b/crates/fernslip/src/facade.rs
@@ -64,6 +64,7 @@
 //! ```
 
 use crate::api::*;
+use crate::hand::Hand;
 use crate::policy::Router;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -188,6 +189,7 @@
     router: Router,
     open: HashMap<RequestId, Open>,
     timers: BinaryHeap<Reverse<Due>>,
+    hand: Hand,
 }
 
 enum Effect {
@@ -209,7 +211,7 @@
     /// A dispatcher that knows no caches yet.
     pub fn new(settings: Settings, seed: u64, host: H) -> Result<Self, SettingsError> {
         let router = Router::new(settings, seed)?;
-        let inner = Inner { router, open: HashMap::new(), timers: BinaryHeap::new() };
+        let inner = Inner { router, open: HashMap::new(), timers: BinaryHeap::new(), hand: Hand::default() };
         Ok(Dispatcher { inner: Mutex::new(inner), host })
     }
 
@@ -309,11 +311,46 @@
         }
     }
 
-    /// News of the caches.
-    pub fn list(&self, now_ms: f64, kind: ListKind, entries: Vec<Entry>) {
+    /// News of the caches. Those out by hand are draining in it.
+    pub fn list(&self, now_ms: f64, kind: ListKind, mut entries: Vec<Entry>) {
+        self.lock().hand.rewrite(kind, &mut entries);
         self.feed(now_ms, Event::Fleet { kind, entries });
     }
 
+    /// Takes a listed cache out by hand: from now on it is draining for this router, whatever the list says,
+    /// until [`Dispatcher::include`]. Whether a cache of that id is listed; `false` changes nothing.
+    pub fn exclude(&self, now_ms: f64, cache: &CacheId) -> bool {
+        let Some(entry) = self.lock().hand.exclude(cache) else { return false };
+        self.feed(now_ms, Event::Fleet { kind: ListKind::Delta, entries: vec![entry] });
+        true
+    }
+
+    /// Puts a cache back that was out by hand, as the list last gave it. Whether the id is listed or was out;
+    /// `false` changes nothing.
+    pub fn include(&self, now_ms: f64, cache: &CacheId) -> bool {
+        let Some(entry) = self.lock().hand.include(cache) else { return false };
+        if let Some(entry) = entry {
+            self.feed(now_ms, Event::Fleet { kind: ListKind::Delta, entries: vec![entry] });
+        }
+        true
+    }
+
+    /// Takes caches out by hand before they are listed: the set that a front kept across its restart.
+    pub fn restore(&self, caches: impl IntoIterator<Item = CacheId>) {
+        self.lock().hand.restore(caches);
+    }
+
+    /// The caches out by hand.
+    pub fn excluded(&self) -> Vec<CacheId> {
+        self.lock().hand.out().cloned().collect()
+    }
+
+    /// Caches listed, and of them those avoided: out by hand or draining.
+    pub fn listed(&self) -> (usize, usize) {
+        let inner = self.lock();
+        (inner.hand.listed(), inner.hand.avoided())
+    }
+
     /// An object, or with `None` a whole group, was purged so long ago.
     pub fn purged(&self, now_ms: f64, object: Option<ObjectId>, group: u64, age_ms: f64) {
         self.feed(now_ms, Event::Purged { object, group, age_ms });
--- /dev/null
+++ b/crates/fernslip/src/hand.rs
@@ -0,0 +1,132 @@
+//! Cache nodes taken out by hand: from the operators' `exclude` until their `include`, a node counts as draining
+//! for this router, whatever the list says meanwhile.
+//!
+//! The set sits between the list and the decisions: every list passes through [`Hand::rewrite`], which keeps the
+//! last word of the list on each node and turns `In` into `Draining` for those out by hand. Calls are not counted:
+//! two `exclude` need one `include`. Deterministic and without I/O; keeping the set across a restart is the host's.
+
+use crate::api::{CacheId, Entry, ListKind, Phase};
+use std::collections::{BTreeSet, HashMap};
+
+/// The nodes out by hand, and what the list last said of each node.
+#[derive(Default)]
+pub struct Hand {
+    out: BTreeSet<CacheId>,
+    listed: HashMap<CacheId, Entry>,
+}
+
+impl Hand {
+    /// Takes a list in and rewrites it: nodes out by hand are draining in it.
+    pub fn rewrite(&mut self, kind: ListKind, entries: &mut [Entry]) {
+        match kind {
+            ListKind::Failed => return,
+            ListKind::Full | ListKind::Cached => self.listed.clear(),
+            ListKind::Delta => {}
+        }
+        for e in entries.iter_mut() {
+            if e.phase == Phase::Out {
+                self.listed.remove(&e.cache);
+            } else {
+                self.listed.insert(e.cache.clone(), e.clone());
+            }
+            if e.phase == Phase::In && self.out.contains(&e.cache) {
+                e.phase = Phase::Draining;
+            }
+        }
+    }
+
+    /// Takes a node out; the entry that tells the decisions so, or `None` where no node of that id is listed.
+    pub fn exclude(&mut self, id: &CacheId) -> Option<Entry> {
+        let entry = self.listed.get(id)?;
+        self.out.insert(id.clone());
+        let phase = if entry.phase == Phase::In { Phase::Draining } else { entry.phase };
+        Some(Entry { phase, ..entry.clone() })
+    }
+
+    /// Puts a node back; the entry as the list last gave it, or `None` where the id is neither listed nor out.
+    /// A node that is out and no longer listed is put back all the same, with no entry to tell.
+    pub fn include(&mut self, id: &CacheId) -> Option<Option<Entry>> {
+        let was_out = self.out.remove(id);
+        match self.listed.get(id) {
+            Some(e) => Some(Some(e.clone())),
+            None if was_out => Some(None),
+            None => None,
+        }
+    }
+
+    /// Takes nodes out before they are listed, as a restarted front does with the set that it kept.
+    pub fn restore(&mut self, ids: impl IntoIterator<Item = CacheId>) {
+        self.out.extend(ids);
+    }
+
+    /// The nodes out by hand, in order.
+    pub fn out(&self) -> impl Iterator<Item = &CacheId> {
+        self.out.iter()
+    }
+
+    /// Nodes listed and not gone: in service or draining.
+    pub fn listed(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Listed nodes that are out by hand or draining by the list.
+    pub fn avoided(&self) -> usize {
+        self.listed.values().filter(|e| e.phase != Phase::In || self.out.contains(&e.cache)).count()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(id: &str, phase: Phase) -> Entry {
+        Entry { cache: id.into(), weight: 1.0, zone: None, kind: None, cell: 0, born_ms: 0.0, phase }
+    }
+
+    #[test]
+    fn a_node_out_by_hand_stays_draining_whatever_the_list_says() {
+        let mut hand = Hand::default();
+        let mut list = vec![entry("a", Phase::In), entry("b", Phase::In)];
+        hand.rewrite(ListKind::Full, &mut list);
+        assert_eq!(hand.exclude(&"a".into()).map(|e| e.phase), Some(Phase::Draining));
+        let mut again = vec![entry("a", Phase::In)];
+        hand.rewrite(ListKind::Delta, &mut again);
+        assert_eq!(again[0].phase, Phase::Draining);
+        let mut full = vec![entry("a", Phase::In), entry("b", Phase::In)];
+        hand.rewrite(ListKind::Full, &mut full);
+        assert_eq!((full[0].phase, full[1].phase), (Phase::Draining, Phase::In));
+        assert_eq!((hand.listed(), hand.avoided()), (2, 1));
+    }
+
+    #[test]
+    fn two_out_need_one_back_and_unknown_ids_get_a_no() {
+        let mut hand = Hand::default();
+        hand.rewrite(ListKind::Full, &mut [entry("a", Phase::In)]);
+        assert!(hand.exclude(&"a".into()).is_some());
+        assert!(hand.exclude(&"a".into()).is_some());
+        assert!(hand.exclude(&"nobody".into()).is_none());
+        assert!(hand.include(&"nobody".into()).is_none());
+        assert_eq!(hand.include(&"a".into()).flatten().map(|e| e.phase), Some(Phase::In));
+        let mut list = [entry("a", Phase::In)];
+        hand.rewrite(ListKind::Delta, &mut list);
+        assert_eq!(list[0].phase, Phase::In);
+    }
+
+    #[test]
+    fn a_restored_set_binds_nodes_listed_later() {
+        let mut hand = Hand::default();
+        hand.restore(["a".into()]);
+        let mut list = [entry("a", Phase::In)];
+        hand.rewrite(ListKind::Full, &mut list);
+        assert_eq!(list[0].phase, Phase::Draining);
+        assert_eq!(hand.out().count(), 1);
+    }
+
+    #[test]
+    fn a_failed_list_changes_nothing() {
+        let mut hand = Hand::default();
+        hand.rewrite(ListKind::Full, &mut [entry("a", Phase::In)]);
+        hand.rewrite(ListKind::Failed, &mut []);
+        assert_eq!(hand.listed(), 1);
+    }
+}
--- a/crates/fernslip/src/lib.rs
+++ b/crates/fernslip/src/lib.rs
@@ -109,6 +109,7 @@
 mod cold;
 pub mod facade;
 pub mod filter;
+pub mod hand;
 pub mod json;
 mod message;
 mod place;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod call;
 pub mod clock;
 pub mod config;
+pub mod figures;
 pub mod gossip;
 pub mod keyfile;
 pub mod lanes;
@@ -17,6 +18,7 @@
 pub mod listen;
 pub mod log;
 pub mod msgpack_rpc;
+pub mod ops;
 pub mod peers;
 pub mod plan;
 pub mod relay;
@@ -56,6 +58,9 @@
 const SWEEP: Duration = Duration::from_millis(100);
 /// After SIGTERM new work may come for so long, and is taken.
 const STILL_COMING: Duration = Duration::from_millis(1000);
+/// After `evacuate` connections are closed as they fall idle: the platform sends new ones for 0.2 s more, and
+/// clients that are between two requests get a moment to send the second.
+const EVACUATE_GRACE: Duration = Duration::from_millis(300);
 
 /// What a front is started with, read and checked.
 pub struct Start {
@@ -178,6 +183,10 @@
     /// The list of machines is held.
     pub listed: AtomicBool,
     leaving: AtomicBool,
+    /// What is counted for the operators.
+    pub figures: figures::Figures,
+    /// Where the nodes out by hand are kept for a process that replaces this one.
+    pub excluded_file: PathBuf,
 }
 
 impl Shared {
@@ -196,7 +205,9 @@
 
     /// Whether new clients are welcome.
     pub fn is_well(&self) -> bool {
-        self.listed.load(Ordering::Acquire) && !self.leaving.load(Ordering::Acquire)
+        self.listed.load(Ordering::Acquire)
+            && !self.leaving.load(Ordering::Acquire)
+            && !self.server.is_evacuated()
     }
 }
 
@@ -280,6 +291,7 @@
     };
     // The longest that a client waits, and a little to write the last answer.
     let classes = config.settings.classes.clone();
+    let classes_named = classes.iter().map(|c| c.name.to_string()).collect();
     let longest = classes.iter().map(|c| c.deadline_ms).fold(3000.0, f64::max) + 500.0;
     let lanes = Lanes::new(&config.settings, config.seed, plan, machines.clone(), ways);
     let lanes = lanes.map_err(StartError::Settings)?;
@@ -294,7 +306,10 @@
         bus: Bus::new(config.bus, config.seed),
         listed: AtomicBool::new(false),
         leaving: AtomicBool::new(false),
+        figures: figures::Figures::new(classes_named),
+        excluded_file: ops::file_for(&config.name),
     });
+    ops::restore(&front);
     front.lanes.begin(&front.clock, &front.upstream);
     front.tell_members();
     if talk.is_some() {
@@ -326,6 +341,10 @@
     if origin == listen::Origin::Passed {
         tracing::info!("the clients' socket is the one handed over in {}", listen::PASSED);
     }
+    if let Some(at) = config.ops {
+        let door = ops::open(front.clone(), at).map_err(|e| StartError::Bind(at, e))?;
+        tracing::info!("operators' door at {door}");
+    }
     tracing::info!("front {} listens on {listen}", config.name);
     let f = front.clone();
     spawn(move || f.server.run(&f, &listener, origin));
@@ -390,7 +409,7 @@
         }
         let since = left.map(|at| at.elapsed());
         let ending = since.is_some_and(|t| t >= coming);
-        front.server.sweep(ending);
+        front.server.sweep(ending || front.server.evacuated_for().is_some_and(|t| t >= EVACUATE_GRACE));
         if left.is_none() && leave.load(Ordering::Acquire) {
             front.leaving.store(true, Ordering::Release);
             tracing::info!("leaving: SIGTERM");
--- /dev/null
+++ b/crates/front/src/ops.rs
@@ -0,0 +1,323 @@
+//! The operators' door: one address, one call a connection, one line each way, answered on threads of its own.
+//!
+//! | call | answer |
+//! | --- | --- |
+//! | `readyz` | `200 ready` once the process serves and is not being emptied; else `400 not ready` |
+//! | `telemetry` | `200 telemetry`, the figures as `name=value` lines, then `EOF` |
+//! | `exclude ID` | `200 excluded ID`: nothing more goes to cache node ID; `400 unknown ID` where none is listed |
+//! | `include ID` | `200 included ID`: it is back; `400 unknown ID` |
+//! | `evacuate` | `200 evacuating`: readiness turns no, connections close as they fall idle |
+//! | `activate` | `200 active`: the end of it |
+//!
+//! Anything else is answered `400` and the reason. The door never waits on the serving path: a caller has a thread
+//! of its own, at most [`MOST_CALLERS`] of them, and one that says nothing, half a line or too long a line is
+//! closed after [`PATIENCE`] or answered `400` at once. Nodes out by hand are kept in a file under `$TMPDIR`, which
+//! a process that replaces this one reads when it starts.
+
+use crate::Shared;
+use fernslip::CacheId;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// The variable that names the door's address, before the configuration's `ops`.
+pub const VARIABLE: &str = "RELAY_OPS";
+/// A call is one line of at most so many bytes; guards the door against callers that never end a line.
+pub const MOST_LINE: usize = 512;
+/// Callers served at once; more are closed at once, so that those who hold a connection and say nothing can't
+/// take all threads.
+pub const MOST_CALLERS: usize = 32;
+/// A caller ends its line within this time, or is closed; callers wait 1 s for their answer.
+pub const PATIENCE: Duration = Duration::from_millis(2000);
+/// Time to write an answer to a caller that does not read.
+const WRITE: Duration = Duration::from_millis(1000);
+/// The first line of the file of nodes out by hand; other files are not ours.
+const HEADER: &str = "fernslip excluded 1";
+
+/// What a call asks.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether the process serves.
+    Ready,
+    /// The figures.
+    Telemetry,
+    /// A node out.
+    Exclude(String),
+    /// A node back.
+    Include(String),
+    /// Empty the front.
+    Evacuate,
+    /// The end of the drain.
+    Activate,
+}
+
+/// Reads one line; why it is no call.
+pub fn parse(line: &str) -> Result<Call, &'static str> {
+    let mut words = line.split_ascii_whitespace();
+    let call = match (words.next(), words.next()) {
+        (Some("readyz"), None) => Call::Ready,
+        (Some("telemetry"), None) => Call::Telemetry,
+        (Some("evacuate"), None) => Call::Evacuate,
+        (Some("activate"), None) => Call::Activate,
+        (Some("exclude"), Some(id)) => Call::Exclude(id.into()),
+        (Some("include"), Some(id)) => Call::Include(id.into()),
+        (Some("exclude" | "include"), None) => return Err("an id is wanted"),
+        (None, _) => return Err("empty line"),
+        _ => return Err("unknown call"),
+    };
+    match words.next() {
+        Some(_) => Err("too many words"),
+        None => Ok(call),
+    }
+}
+
+/// The file of nodes out by hand, for a front of that name: one id a line after a header.
+pub fn file_for(name: &str) -> PathBuf {
+    let safe: String =
+        name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
+    std::env::temp_dir().join(format!("fernslip-{safe}.excluded"))
+}
+
+/// Why the file is not used.
+#[derive(Debug)]
+pub enum FileError {
+    /// It can't be read.
+    Read(io::Error),
+    /// Its line is not what the file holds.
+    Line(usize, &'static str),
+}
+
+impl std::fmt::Display for FileError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            FileError::Read(e) => write!(f, "{e}"),
+            FileError::Line(n, why) => write!(f, "line {n}: {why}"),
+        }
+    }
+}
+
+/// The nodes out by hand in the file; none where there is no file.
+pub fn load(path: &Path) -> Result<Vec<CacheId>, FileError> {
+    let text = match std::fs::read_to_string(path) {
+        Ok(t) => t,
+        Err(e) if e.kind() == ErrorKind::NotFound => return Ok(Vec::new()),
+        Err(e) => return Err(FileError::Read(e)),
+    };
+    let mut lines = text.lines();
+    if lines.next() != Some(HEADER) {
+        return Err(FileError::Line(1, "not a file of nodes out by hand"));
+    }
+    let mut ids = Vec::new();
+    for (n, line) in lines.enumerate() {
+        match line {
+            "" => return Err(FileError::Line(n + 2, "empty line")),
+            id if id.split_ascii_whitespace().count() != 1 || id.trim() != id => {
+                return Err(FileError::Line(n + 2, "not one id"))
+            }
+            id => ids.push(CacheId::from(id)),
+        }
+    }
+    Ok(ids)
+}
+
+/// Writes the set: to a file beside it, then renamed over it, so that a cut leaves the old file or the new one.
+pub fn save(path: &Path, ids: &[CacheId]) -> io::Result<()> {
+    let mut text = format!("{HEADER}\n");
+    for id in ids {
+        text += &id.0;
+        text.push('\n');
+    }
+    let part = path.with_extension(format!("part{}", std::process::id()));
+    let mut file = std::fs::File::create(&part)?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()?;
+    std::fs::rename(&part, path)
+}
+
+/// Opens the door; calls are served on threads of their own until the process ends.
+///
+/// # Errors
+/// The address can't be bound.
+pub fn open(front: Arc<Shared>, at: SocketAddr) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(at)?;
+    let bound = listener.local_addr()?;
+    let callers = Arc::new(AtomicUsize::new(0));
+    std::thread::Builder::new().name("ops".into()).spawn(move || {
+        for caller in listener.incoming() {
+            let Ok(caller) = caller else {
+                // Out of descriptors, or a caller that left at once: the next may be fine.
+                std::thread::sleep(Duration::from_millis(5));
+                continue;
+            };
+            if callers.fetch_add(1, Ordering::AcqRel) >= MOST_CALLERS {
+                callers.fetch_sub(1, Ordering::AcqRel);
+                tracing::info!(kind = %"ops", reason = %"too_many", "end");
+                continue;
+            }
+            let (front, mine) = (front.clone(), callers.clone());
+            let served = std::thread::Builder::new().name("ops-call".into()).spawn(move || {
+                let why = serve(&front, caller);
+                mine.fetch_sub(1, Ordering::AcqRel);
+                tracing::info!(kind = %"ops", reason = %why, "end");
+            });
+            if served.is_err() {
+                callers.fetch_sub(1, Ordering::AcqRel);
+            }
+        }
+    })?;
+    Ok(bound)
+}
+
+/// Reads a line within the time; what came, or why nothing did.
+fn read_line(caller: &mut TcpStream) -> Result<String, &'static str> {
+    let until = Instant::now() + PATIENCE;
+    let mut line = Vec::with_capacity(64);
+    let mut byte = [0; MOST_LINE];
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() || caller.set_read_timeout(Some(left)).is_err() {
+            return Err("stalled");
+        }
+        match caller.read(&mut byte) {
+            Ok(0) => return Err("peer_closed"),
+            Ok(n) => line.extend_from_slice(&byte[..n]),
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return Err("stalled")
+            }
+            Err(_) => return Err("reset"),
+        }
+        if let Some(end) = line.iter().position(|b| *b == b'\n') {
+            line.truncate(end);
+            return String::from_utf8(line).map_err(|_| "malformed");
+        }
+        if line.len() > MOST_LINE {
+            return Err("too_long");
+        }
+    }
+}
+
+fn serve(front: &Shared, mut caller: TcpStream) -> &'static str {
+    let _ = caller.set_write_timeout(Some(WRITE));
+    let answer = match read_line(&mut caller) {
+        Ok(line) => match parse(line.trim_end_matches('\r')) {
+            Ok(call) => answer(front, call),
+            Err(why) => format!("400 {why}\n"),
+        },
+        Err(why @ ("too_long" | "malformed")) => format!("400 {}\n", why.replace('_', " ")),
+        Err(why) => return why,
+    };
+    match caller.write_all(answer.as_bytes()) {
+        Ok(()) => "answered",
+        Err(_) => "slow_reader",
+    }
+}
+
+/// Carries a call out; the answer's lines.
+pub fn answer(front: &Shared, call: Call) -> String {
+    let now = front.clock.now();
+    let lanes = front.lanes.all();
+    match call {
+        Call::Ready if front.is_well() => "200 ready\n".into(),
+        Call::Ready => "400 not ready\n".into(),
+        Call::Telemetry => {
+            let (listed, avoided) = lanes.first().map_or((0, 0), |l| l.dispatcher.listed());
+            format!("200 telemetry\n{}EOF\n", front.figures.lines(listed, avoided))
+        }
+        Call::Exclude(id) | Call::Include(id) if lanes.is_empty() => format!("400 unknown {id}\n"),
+        Call::Exclude(id) => {
+            let cache = CacheId::from(id.as_str());
+            let known = lanes.iter().fold(false, |known, l| l.dispatcher.exclude(now, &cache) | known);
+            if !known {
+                return format!("400 unknown {id}\n");
+            }
+            keep(front);
+            tracing::info!(node = %id, "ops: excluded");
+            format!("200 excluded {id}\n")
+        }
+        Call::Include(id) => {
+            let cache = CacheId::from(id.as_str());
+            let known = lanes.iter().fold(false, |known, l| l.dispatcher.include(now, &cache) | known);
+            if !known {
+                return format!("400 unknown {id}\n");
+            }
+            keep(front);
+            tracing::info!(node = %id, "ops: included");
+            format!("200 included {id}\n")
+        }
+        Call::Evacuate => {
+            front.server.evacuate(true);
+            tracing::info!("ops: evacuating");
+            "200 evacuating\n".into()
+        }
+        Call::Activate => {
+            front.server.evacuate(false);
+            tracing::info!("ops: active");
+            "200 active\n".into()
+        }
+    }
+}
+
+/// Writes the set of nodes out by hand for a process that replaces this one.
+fn keep(front: &Shared) {
+    let mut ids: Vec<CacheId> = front.lanes.all().iter().flat_map(|l| l.dispatcher.excluded()).collect();
+    ids.sort();
+    ids.dedup();
+    if let Err(e) = save(&front.excluded_file, &ids) {
+        tracing::warn!(
+            "ops: {}: {e}; a process that replaces this one won't know them",
+            front.excluded_file.display()
+        );
+    }
+}
+
+/// Takes the set kept by an earlier process up; a file that can't be used is reported with its place and left.
+pub fn restore(front: &Shared) {
+    match load(&front.excluded_file) {
+        Ok(ids) if ids.is_empty() => {}
+        Ok(ids) => {
+            tracing::info!(nodes = ids.len(), "ops: out by hand, as an earlier process left them");
+            for lane in front.lanes.all() {
+                lane.dispatcher.restore(ids.iter().cloned());
+            }
+        }
+        Err(e) => tracing::warn!("ops: {}: {e}; no node is out by hand", front.excluded_file.display()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_read_word_by_word() {
+        assert_eq!(parse("readyz"), Ok(Call::Ready));
+        assert_eq!(parse("exclude s-1 "), Ok(Call::Exclude("s-1".into())));
+        assert_eq!(parse("include s-1"), Ok(Call::Include("s-1".into())));
+        assert_eq!(parse("exclude"), Err("an id is wanted"));
+        assert_eq!(parse("exclude a b"), Err("too many words"));
+        assert_eq!(parse("readyz now"), Err("unknown call"));
+        assert_eq!(parse("reboot"), Err("unknown call"));
+        assert_eq!(parse(""), Err("empty line"));
+    }
+
+    #[test]
+    fn the_kept_set_comes_back_and_a_foreign_file_is_refused_with_its_line() {
+        let dir = std::env::temp_dir().join(format!("fernslip-ops-test-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let path = dir.join("kept");
+        assert!(load(&path).expect("no file is no set").is_empty());
+        save(&path, &["a".into(), "b".into()]).expect("written");
+        assert_eq!(load(&path).expect("read"), vec![CacheId::from("a"), CacheId::from("b")]);
+        std::fs::write(&path, "something else\na\n").expect("written");
+        assert!(matches!(load(&path), Err(FileError::Line(1, _))));
+        std::fs::write(&path, format!("{HEADER}\na\n\n")).expect("written");
+        assert!(matches!(load(&path), Err(FileError::Line(3, _))));
+        std::fs::write(&path, format!("{HEADER}\na b\n")).expect("written");
+        assert!(matches!(load(&path), Err(FileError::Line(2, _))));
+        let _ = std::fs::remove_dir_all(&dir);
+    }
+}
--- a/crates/front/src/plan.rs
+++ b/crates/front/src/plan.rs
@@ -330,6 +330,7 @@
         streams: 32,
         connect_timeout: std::time::Duration::from_millis(fernslip_site::defaults::CONNECT_MS),
         idle: std::time::Duration::from_millis(fernslip_site::defaults::IDLE_MS),
+        ops: None,
     })
 }
 
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -77,6 +77,7 @@
     let effect = dispatcher.host().effect(request.class);
     let mut may_have_run = false;
     let request_kb = request.size_kb;
+    let ask_class = request.class;
     let mut decision = dispatcher.pick(clock.now(), request);
     let mut reply = None;
     loop {
@@ -97,6 +98,9 @@
                 let end = upstream.run(&a, ask, &line, deadline);
                 place.ended(&a, end.ending);
                 may_have_run |= !end.ending.never_ran();
+                if !end.ending.never_ran() {
+                    front.figures.sent(ask_class);
+                }
                 if end.ending == Ending::Completed {
                     reply = end.reply;
                 }
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -3,6 +3,7 @@
 use crate::budget::Budget;
 use crate::buffer::Buffer;
 use crate::call;
+use crate::figures::Outcome;
 use crate::lanes::Lane;
 use crate::link::Stream;
 use crate::link::{lock, Link};
@@ -68,6 +69,10 @@
     bodies: AtomicUsize,
     partial: AtomicUsize,
     closed: AtomicBool,
+    /// Since `evacuate`, until `activate`.
+    evacuated: Mutex<Option<Instant>>,
+    /// Connections are closed as they fall idle.
+    ending: AtomicBool,
 }
 
 impl Client {
@@ -96,17 +101,26 @@
     }
 
     /// Answers a call unless the client has forgotten it.
-    fn answer(&self, front: &Shared, call: u32, answer: Answer) {
-        {
+    fn answer(&self, front: &Shared, call: u32, class: Option<usize>, answer: Answer) {
+        let outcome = match answer {
+            Answer::Served(_) => Some(Outcome::Answered),
+            Answer::Refused(_) => Some(Outcome::Deferred),
+            Answer::Failed => Some(Outcome::Errored),
+            Answer::None => None,
+        };
+        let idle = {
             let mut open = lock(&self.open);
             if open.calls.remove(&call).is_none() {
+                front.figures.ended(class, None);
                 return;
             }
             if open.calls.is_empty() {
                 open.idle_since = Some(Instant::now());
             }
             open.served |= matches!(answer, Answer::Served(_));
-        }
+            open.calls.is_empty()
+        };
+        front.figures.ended(class, outcome);
         let bytes = match answer {
             Answer::Served(r) if r.current => rpc::served(call, &[], &[("current", "1")]),
             Answer::Served(r) => rpc::served(call, &r.body, &[]),
@@ -118,6 +132,10 @@
             Answer::None => return,
         };
         self.send(front, bytes);
+        // The front is being emptied: a connection closes after its last answer, not only at the next sweep.
+        if idle && front.server.ending.load(Ordering::Acquire) && self.link.is_drained() {
+            self.link.close(Reason::Shutdown);
+        }
     }
 
     fn call(
@@ -139,7 +157,9 @@
                 return Ok(());
             }
         };
+        let class = Some(request.class);
         let Some(lane) = front.lanes.route(&ask.class, &ask.item).cloned() else {
+            front.figures.count(class, Outcome::Errored);
             self.send(front, rpc::error(number, "Fault", &[("route", "none")]));
             return Ok(());
         };
@@ -154,6 +174,7 @@
                 || bodies.load(Ordering::Relaxed) + bytes > front.server.budget.bodies
             {
                 drop(open);
+                front.figures.count(class, Outcome::Deferred);
                 self.send(front, rpc::error(number, "Shed", &[("pause", NO_ROOM_PAUSE)]));
                 return Ok(());
             }
@@ -162,12 +183,13 @@
             open.idle_since = None;
             open.taken += 1;
         }
+        front.figures.taken();
         let (client, front) = (self.clone(), front.clone());
         spawn(move || {
             let wanted = || lock(&client.open).calls.contains_key(&number);
             let answer = relay::serve(&front, &lane, request, &ask, wanted);
             front.server.bodies.fetch_sub(bytes, Ordering::Relaxed);
-            client.answer(&front, number, answer);
+            client.answer(&front, number, class, answer);
         });
         Ok(())
     }
@@ -259,6 +281,8 @@
             bodies: AtomicUsize::new(0),
             partial: AtomicUsize::new(0),
             closed: AtomicBool::new(false),
+            evacuated: Mutex::new(None),
+            ending: AtomicBool::new(false),
         }
     }
 
@@ -332,6 +356,7 @@
 
     /// Closes connections that nobody uses; all that are idle where the front is ending.
     pub fn sweep(&self, ending: bool) {
+        self.ending.store(ending, Ordering::Release);
         let now = Instant::now();
         for c in lock(&self.clients).values() {
             let idle = || lock(&c.open).idle_since.is_some() && c.link.is_drained();
@@ -342,6 +367,25 @@
         }
     }
 
+    /// Empties the front, or ends that: readiness is no meanwhile, and connections close as they fall idle.
+    pub fn evacuate(&self, on: bool) {
+        let mut evacuated = lock(&self.evacuated);
+        *evacuated = if on { Some(evacuated.unwrap_or_else(Instant::now)) } else { None };
+        if !on {
+            self.ending.store(false, Ordering::Release);
+        }
+    }
+
+    /// Whether the front is being emptied.
+    pub fn is_evacuated(&self) -> bool {
+        lock(&self.evacuated).is_some()
+    }
+
+    /// How long the front has been emptied for.
+    pub fn evacuated_for(&self) -> Option<Duration> {
+        lock(&self.evacuated).map(|at| at.elapsed())
+    }
+
     /// No client is taken in any more.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Release);
