Turn new calls on kept connections away at once when a front ends or empties

Also seen: two exclusions at once failed to keep the set, ENOENT on rename: both wrote one temporary name (ops.rs, save).

Ruled out: the module's drain (no request went to the node left out), the door's answers, and connections closed with calls open (every client end had unanswered=0).

Change: once the front ends (SIGTERM, after its grace) or is emptied, a call on a kept connection is answered Shed with pause=100 at once, and the connection closes after its last answer. Not taken: stop reading the connection, which leaves requests that were written unanswered until the kill. Saves are one at a time with names of their own.

--- a/crates/front/src/ops.rs
+++ b/crates/front/src/ops.rs
@@ -130,7 +130,11 @@
         text += &id.0;
         text.push('\n');
     }
-    let part = path.with_extension(format!("part{}", std::process::id()));
+    // One writer at a time, each with a name of its own: two calls at once must not rename each other's file.
+    static WRITING: std::sync::Mutex<u64> = std::sync::Mutex::new(0);
+    let mut n = WRITING.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    *n += 1;
+    let part = path.with_extension(format!("part{}-{}", std::process::id(), *n));
     let mut file = std::fs::File::create(&part)?;
     file.write_all(text.as_bytes())?;
     file.sync_all()?;
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -32,6 +32,9 @@
 /// A client that has connected says something within this time, and what it has begun to say it ends. Guards the
 /// places for others against those that connect and say nothing, or half of it.
 const SPEAK: Duration = Duration::from_secs(2);
+/// When a client that was turned away for the front's end may come back, in milliseconds: another process or front
+/// takes it at once.
+const ENDING_PAUSE: &str = "100";
 /// Where all places are taken, a connection that has said nothing yet keeps its place for so long.
 const FRESH: Duration = Duration::from_millis(200);
 
@@ -164,6 +167,16 @@
             return Ok(());
         };
         let bytes = ask.body.len();
+        // The front is ending or being emptied: a busy connection must fall idle and close before the process is
+        // killed, so what comes on it now is turned away at once instead of being taken and lost with the process.
+        if front.server.ending.load(Ordering::Acquire) {
+            front.figures.count(class, Outcome::Deferred);
+            self.send(front, rpc::error(number, "Shed", &[("pause", ENDING_PAUSE)]));
+            if lock(&self.open).calls.is_empty() && self.link.is_drained() {
+                self.link.close(Reason::Shutdown);
+            }
+            return Ok(());
+        }
         {
             let mut open = lock(&self.open);
             if open.calls.contains_key(&number) {
