Test the operators' door on a running front; read RELAY_OPS for site documents too

A program-level test: callers that say nothing or half a line hold up nobody (readyz within 1 s), unknown and over-long calls get 400, figures equal what the front did (3 answered, sends equal to what the nodes saw, current 0), an unknown id gets a no, a node out by hand gets nothing over 30 requests, the set is in TMPDIR, evacuate turns readiness no and activate yes.

It is read where the front starts now, for both.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -135,6 +135,11 @@
 impl Front {
     /// Starts it and waits until it listens.
     pub fn start(name: &str, site: &str, args: &[&str]) -> Front {
+        Front::start_with(name, site, args, &[])
+    }
+
+    /// Starts it with more in its environment, and waits until it listens.
+    pub fn start_with(name: &str, site: &str, args: &[&str], env: &[(&str, &str)]) -> Front {
         let file = std::env::temp_dir().join(format!("fernslip-{}-{name}.kdl", std::process::id()));
         std::fs::write(&file, site).expect("a temporary file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_fernslip"))
@@ -142,6 +147,9 @@
             .arg(&file)
             .args(args)
             .env_remove("RELAY_CONFIG")
+            .env_remove("RELAY_OPS")
+            .env_remove("RELAY_PASSED_SOCKET")
+            .envs(env.iter().copied())
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program");
--- /dev/null
+++ b/crates/cli/tests/door.rs
@@ -0,0 +1,82 @@
+//! The operators' door of a running front: calls, figures against what the front did, exclusions by hand and the
+//! file that keeps them, evacuation, and callers that say nothing or too much.
+
+mod common;
+
+use common::{Answer, Front, Node};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+const SITE: &str = "site \"door\" members-from=\"file\"\nfront \"d0\" listen=\"127.0.0.1:0\" zone=\"here\"\n\
+    zone \"here\"\nclass \"docs\" aim-ms=600 deadline-ms=5000\n";
+
+/// A caller waits this long for its answer, as the operators' own callers do.
+const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+
+fn call(door: &str, line: &str) -> String {
+    let mut caller = TcpStream::connect(door).expect("the door listens");
+    caller.set_read_timeout(Some(Duration::from_secs(30))).expect("a socket option");
+    caller.write_all(line.as_bytes()).expect("the door reads");
+    let mut answer = String::new();
+    let _ = caller.read_to_string(&mut answer);
+    answer
+}
+
+fn figure(text: &str, name: &str) -> Option<u64> {
+    text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+}
+
+#[test]
+fn the_door_answers_counts_and_takes_nodes_out_and_back() {
+    let (a, b, origin) = (Node::start(), Node::start(), Node::start());
+    let kept = std::env::temp_dir().join(format!("fernslip-door-{}", std::process::id()));
+    std::fs::create_dir_all(&kept).expect("a folder");
+    let tmp = kept.display().to_string();
+    let site = format!(
+        "{SITE}member \"a\" address=\"{}\"\nmember \"b\" address=\"{}\"\nmember \"o\" address=\"{}\" kind=\"origin\"\n",
+        a.addr, b.addr, origin.addr
+    );
+    let front = Front::start_with("door", &site, &[], &[("RELAY_OPS", "127.0.0.1:0"), ("TMPDIR", &tmp)]);
+    let line =
+        front.seen.iter().find(|l| l.contains("operators' door at ")).expect("the door's line").clone();
+    let door = line.rsplit(' ').next().expect("an address").trim_matches('"').to_string();
+
+    // Those who hold a connection and say nothing, or half a line, hold up nobody.
+    let _silent = TcpStream::connect(&door).expect("the door listens");
+    let mut half = TcpStream::connect(&door).expect("the door listens");
+    half.write_all(b"read").expect("the door reads");
+    let asked = Instant::now();
+    assert_eq!(call(&door, "readyz\n"), "200 ready\n");
+    assert!(asked.elapsed() < ANSWER_WITHIN, "answered in {:?}", asked.elapsed());
+    assert_eq!(call(&door, "reboot\n"), "400 unknown call\n");
+    assert_eq!(call(&door, &format!("{}\n", "x".repeat(2000))), "400 too long\n");
+
+    let mut client = front.client();
+    for n in 0..3 {
+        assert_eq!(client.ask("docs", n), Answer::Served);
+    }
+    let figures = call(&door, "telemetry\n");
+    assert!(figures.starts_with("200 ") && figures.ends_with("EOF\n"), "{figures}");
+    assert_eq!(figure(&figures, "relay.transactions.docs.answered"), Some(3), "{figures}");
+    assert_eq!(figure(&figures, "relay.transactions.docs.sends"), Some((a.count() + b.count()) as u64));
+    assert_eq!(figure(&figures, "relay.current"), Some(0));
+
+    assert_eq!(call(&door, "exclude nobody\n"), "400 unknown nobody\n");
+    assert_eq!(call(&door, "exclude a\n"), "200 excluded a\n");
+    assert_eq!(call(&door, "exclude a\n"), "200 excluded a\n");
+    let file = std::fs::read_to_string(kept.join("fernslip-d0.excluded")).expect("the kept set");
+    assert_eq!(file.lines().skip(1).collect::<Vec<_>>(), ["a"]);
+    let before = a.count();
+    for n in 10..40 {
+        assert_eq!(client.ask("docs", n), Answer::Served);
+    }
+    assert_eq!(a.count(), before, "nothing goes to a node out by hand");
+    assert_eq!(call(&door, "include a\n"), "200 included a\n", "two out need one back");
+
+    assert_eq!(call(&door, "evacuate\n"), "200 evacuating\n");
+    assert_eq!(call(&door, "readyz\n"), "400 not ready\n");
+    assert_eq!(call(&door, "activate\n"), "200 active\n");
+    assert_eq!(call(&door, "readyz\n"), "200 ready\n");
+    let _ = std::fs::remove_dir_all(&kept);
+}
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -44,7 +44,7 @@
     pub connect_timeout: Duration,
     /// Idle connections are closed after this.
     pub idle: Duration,
-    /// The operators' door: `$RELAY_OPS`, else `ops`; `None`: there is none.
+    /// The operators' door, `ops`; `$RELAY_OPS` goes before it when the front starts. `None`: there is none.
     pub ops: Option<SocketAddr>,
 }
 
@@ -140,10 +140,7 @@
             streams: (json::num(per, "streams_per_conn")? as usize).max(1),
             connect_timeout: millis(per, "connect_timeout_ms")?,
             idle: millis(per, "conn_idle_ms")?,
-            ops: match std::env::var(crate::ops::VARIABLE).ok().filter(|v| !v.trim().is_empty()) {
-                Some(v) => Some(address(&Value::String(v), crate::ops::VARIABLE)?),
-                None => optional("ops")?,
-            },
+            ops: optional("ops")?,
             settings,
             names,
         })
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -222,6 +222,8 @@
     Signal(std::io::Error),
     /// The local socket for operators cannot be had.
     Control(PathBuf, std::io::Error),
+    /// `$RELAY_OPS` is no address.
+    Door(String),
 }
 
 impl std::fmt::Display for StartError {
@@ -231,6 +233,7 @@
             StartError::Bind(at, e) => write!(f, "cannot listen on {at}: {e}"),
             StartError::Signal(e) => write!(f, "cannot catch signals: {e}"),
             StartError::Control(path, e) => write!(f, "cannot answer at {}: {e}", path.display()),
+            StartError::Door(v) => write!(f, "{}={v:?} is no address", ops::VARIABLE),
         }
     }
 }
@@ -341,7 +344,11 @@
     if origin == listen::Origin::Passed {
         tracing::info!("the clients' socket is the one handed over in {}", listen::PASSED);
     }
-    if let Some(at) = config.ops {
+    let door = match std::env::var(ops::VARIABLE) {
+        Ok(v) if !v.trim().is_empty() => Some(v.trim().parse().map_err(|_| StartError::Door(v))?),
+        _ => config.ops,
+    };
+    if let Some(at) = door {
         let door = ops::open(front.clone(), at).map_err(|e| StartError::Bind(at, e))?;
         tracing::info!("operators' door at {door}");
     }
