Test that a busy kept connection is emptied at a front's end

A client keeps four calls out at all times, so its connection is never idle. After SIGTERM the front must leave soon after its 1 s grace with the calls answered or turned away with pause=100.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -232,6 +232,11 @@
 impl Client {
     /// Sends a call; its number.
     pub fn send(&mut self, class: &str, object: u64) -> u32 {
+        self.try_send(class, object).expect("the front reads")
+    }
+
+    /// Sends a call; its number, or `None` where the connection has ended.
+    pub fn try_send(&mut self, class: &str, object: u64) -> Option<u32> {
         self.next += 1;
         let trace = format!("{:016x}", TRACES.fetch_add(1, Ordering::SeqCst));
         let object = format!("{object:016x}");
@@ -248,13 +253,18 @@
         let call = Value::Array(vec![0.into(), self.next.into(), class.into(), params]);
         let mut bytes = Vec::new();
         rmpv::encode::write_value(&mut bytes, &call).expect("memory");
-        self.stream.write_all(&bytes).expect("the front reads");
-        self.next
+        self.stream.write_all(&bytes).ok()?;
+        Some(self.next)
     }
 
     /// The next answer, of whichever call.
     pub fn answer(&mut self) -> (u32, Answer) {
-        let v = rmpv::decode::read_value(&mut self.stream).expect("an answer");
+        self.try_answer().expect("an answer")
+    }
+
+    /// The next answer; `None` where the connection ended first.
+    pub fn try_answer(&mut self) -> Option<(u32, Answer)> {
+        let v = rmpv::decode::read_value(&mut self.stream).ok()?;
         let number = v[1].as_u64().expect("a number") as u32;
         let text = |v: &Value| v.as_str().unwrap_or("?").to_string();
         let answer = match &v[2] {
@@ -264,7 +274,7 @@
                 Answer::Error(text(&e[0]), fields.unwrap_or_default())
             }
         };
-        (number, answer)
+        Some((number, answer))
     }
 
     pub fn ask(&mut self, class: &str, object: u64) -> Answer {
--- a/crates/cli/tests/door.rs
+++ b/crates/cli/tests/door.rs
@@ -13,6 +13,8 @@
 
 /// A caller waits this long for its answer, as the operators' own callers do.
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+/// Calls that a busy client keeps out.
+const IN_FLIGHT: u64 = 4;
 
 fn call(door: &str, line: &str) -> String {
     let mut caller = TcpStream::connect(door).expect("the door listens");
@@ -80,3 +82,51 @@
     assert_eq!(call(&door, "readyz\n"), "200 ready\n");
     let _ = std::fs::remove_dir_all(&kept);
 }
+
+/// A client that sends its next call as soon as the last is answered never leaves its connection idle. At its end
+/// the front turns such calls away at once and closes the connection after its last answer, so it leaves soon after
+/// its grace of 1 s instead of at the end of the longest deadline (here 5 s), with its calls answered.
+#[test]
+fn a_busy_kept_connection_is_emptied_at_the_end() {
+    let (a, origin) = (Node::start(), Node::start());
+    let site = format!(
+        "{SITE}member \"a\" address=\"{}\"\nmember \"o\" address=\"{}\" kind=\"origin\"\n",
+        a.addr, origin.addr
+    );
+    let mut front = Front::start("busy", &site, &[]);
+    let mut client = front.client();
+    let busy = std::thread::spawn(move || {
+        let (mut sent, mut answered, mut turned_away) = (0, 0, 0);
+        // Four calls out at all times: the connection has no moment without an open call.
+        for n in 0..IN_FLIGHT {
+            client.try_send("docs", n).expect("the front reads");
+            sent += 1;
+        }
+        for n in IN_FLIGHT.. {
+            match client.try_answer() {
+                Some((_, Answer::Error(word, fields))) if word == "Shed" => {
+                    turned_away += 1;
+                    assert!(fields.contains(&("pause".into(), "100".into())), "{fields:?}");
+                }
+                Some(_) => answered += 1,
+                None => break,
+            }
+            if client.try_send("docs", n % 50).is_some() {
+                sent += 1;
+            }
+        }
+        (sent, answered, turned_away)
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    let signalled = front.signal("TERM");
+    front.log("left");
+    let took = signalled.elapsed();
+    let (sent, answered, turned_away) = busy.join().expect("no panic");
+    assert!(took < Duration::from_secs(4), "left after {took:?}");
+    assert!(answered > 0, "{answered} answered");
+    // What was written after the last answer meets a closed connection: at most the calls that were out then.
+    assert!(
+        answered + turned_away + IN_FLIGHT >= sent,
+        "{sent} sent, {answered} answered, {turned_away} turned away"
+    );
+}
