Test the hand-over of a process on one handed listening socket

Two processes get one listener as descriptor 3 (by command-fds, in tests only), serve where the platform listens, and the old one leaves by SIGTERM with exit 0 while the new one serves 20 requests on new connections. A value of RELAY_PASSED_SOCKET that is no number, and a descriptor that is a UDP socket, are each one warning, and the front binds its own address and serves. Without the handed socket taken, the first test fails on the address (the front binds a port of its own).

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -140,9 +140,21 @@
 
     /// Starts it with more in its environment, and waits until it listens.
     pub fn start_with(name: &str, site: &str, args: &[&str], env: &[(&str, &str)]) -> Front {
+        Front::start_prepared(name, site, args, env, |_| {})
+    }
+
+    /// Starts it with more in its environment and its command prepared further, and waits until it listens.
+    pub fn start_prepared(
+        name: &str,
+        site: &str,
+        args: &[&str],
+        env: &[(&str, &str)],
+        prepare: impl FnOnce(&mut Command),
+    ) -> Front {
         let file = std::env::temp_dir().join(format!("fernslip-{}-{name}.kdl", std::process::id()));
         std::fs::write(&file, site).expect("a temporary file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_fernslip"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fernslip"));
+        command
             .args(["run", "--site"])
             .arg(&file)
             .args(args)
@@ -150,9 +162,9 @@
             .env_remove("RELAY_OPS")
             .env_remove("RELAY_PASSED_SOCKET")
             .envs(env.iter().copied())
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the program");
+            .stderr(Stdio::piped());
+        prepare(&mut command);
+        let mut child = command.spawn().expect("the program");
         let (to, lines) = channel();
         let err = BufReader::new(child.stderr.take().expect("piped"));
         std::thread::spawn(move || err.lines().map_while(Result::ok).try_for_each(|l| to.send(l)));
--- /dev/null
+++ b/crates/cli/tests/handover.rs
@@ -0,0 +1,78 @@
+//! Replacing a process while it serves: the platform holds the clients' listening socket and hands it to each process
+//! as descriptor 3, named in `$RELAY_PASSED_SOCKET`. Two processes serve from it together; the old one ends by
+//! SIGTERM, and clients are served throughout.
+
+mod common;
+
+use command_fds::{CommandFdExt, FdMapping};
+use common::{Answer, Front, Node};
+use std::net::TcpListener;
+use std::os::fd::OwnedFd;
+
+const SITE: &str = "site \"hand\" members-from=\"file\"\nfront \"h0\" listen=\"127.0.0.1:0\" zone=\"here\"\n\
+    zone \"here\"\nclass \"docs\" aim-ms=600 deadline-ms=3000\n";
+
+fn handed(name: &str, site: &str, listener: &TcpListener) -> Front {
+    let fd = OwnedFd::from(listener.try_clone().expect("a copy of the socket"));
+    Front::start_prepared(name, site, &[], &[("RELAY_PASSED_SOCKET", "3")], |command| {
+        command.fd_mappings(vec![FdMapping { parent_fd: fd, child_fd: 3 }]).expect("descriptor 3");
+    })
+}
+
+#[test]
+fn two_processes_serve_from_one_handed_socket_and_the_old_one_leaves() {
+    let (a, origin) = (Node::start(), Node::start());
+    let site = format!(
+        "{SITE}member \"a\" address=\"{}\"\nmember \"o\" address=\"{}\" kind=\"origin\"\n",
+        a.addr, origin.addr
+    );
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("bound").to_string();
+
+    let mut old = handed("old", &site, &listener);
+    assert!(old.seen.iter().any(|l| l.contains("handed over in RELAY_PASSED_SOCKET")), "{:?}", old.seen);
+    assert_eq!(old.addr, at, "it listens where the platform does, not on a port of its own");
+    let mut kept = old.client();
+    assert_eq!(kept.ask("docs", 1), Answer::Served);
+
+    let mut new = handed("new", &site, &listener);
+    assert_eq!(new.addr, at);
+    old.signal("TERM");
+    old.log("left");
+    assert!(old.child.wait().expect("its end").success(), "the old process ends well");
+    // The kept connection was closed by the old process; a new one is the new process's.
+    for n in 0..20 {
+        assert_eq!(new.client().ask("docs", 100 + n), Answer::Served);
+    }
+    let _ = kept.try_answer();
+    new.signal("TERM");
+    new.log("left");
+}
+
+#[test]
+fn a_descriptor_that_is_no_listener_is_told_and_the_front_binds_its_own() {
+    let (a, origin) = (Node::start(), Node::start());
+    let site = format!(
+        "{SITE}member \"a\" address=\"{}\"\nmember \"o\" address=\"{}\" kind=\"origin\"\n",
+        a.addr, origin.addr
+    );
+    let front = Front::start_with("nodesc", &site, &[], &[("RELAY_PASSED_SOCKET", "fd3")]);
+    assert!(front.seen.iter().any(|l| l.contains("is no descriptor of 3 or more")), "{:?}", front.seen);
+    assert_eq!(front.client().ask("docs", 1), Answer::Served);
+}
+
+#[test]
+fn a_handed_socket_that_is_not_a_tcp_listener_is_told_and_the_front_binds_its_own() {
+    let (a, origin) = (Node::start(), Node::start());
+    let site = format!(
+        "{SITE}member \"a\" address=\"{}\"\nmember \"o\" address=\"{}\" kind=\"origin\"\n",
+        a.addr, origin.addr
+    );
+    let datagrams = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let fd = OwnedFd::from(datagrams);
+    let front = Front::start_prepared("udp", &site, &[], &[("RELAY_PASSED_SOCKET", "3")], |command| {
+        command.fd_mappings(vec![FdMapping { parent_fd: fd, child_fd: 3 }]).expect("descriptor 3");
+    });
+    assert!(front.seen.iter().any(|l| l.contains("RELAY_PASSED_SOCKET: descriptor 3")), "{:?}", front.seen);
+    assert_eq!(front.client().ask("docs", 1), Answer::Served);
+}
