Test calls and answers written a byte at a time: taken whole and served

A client writes a call one byte every 5 ms and every 2 ms; the cache node and the origin answer one byte every millisecond. Each is served, none cut off as stalled while its bytes keep coming. The stand-in client's calls are encoded in one place now.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -36,6 +36,8 @@
     pub dead: AtomicBool,
     /// It answers with an error.
     pub fails: AtomicBool,
+    /// It writes its answers a byte at a time, with a pause after each.
+    pub pieces: AtomicBool,
 }
 
 /// A cache node that serves everything as filled.
@@ -109,7 +111,15 @@
                 s.inside.fetch_sub(1, Ordering::SeqCst);
                 let word: &[u8] = if s.fails.load(Ordering::SeqCst) { b"crashed" } else { b"served" };
                 let bytes = fernslip_front::resp::array(&[id.as_bytes(), word, b"tell=fill", b"body"]);
-                let _ = out.lock().expect("sound").write_all(&bytes);
+                let mut out = out.lock().expect("sound");
+                if s.pieces.load(Ordering::SeqCst) {
+                    for b in bytes {
+                        let _ = out.write_all(&[b]);
+                        std::thread::sleep(Duration::from_millis(1));
+                    }
+                } else {
+                    let _ = out.write_all(&bytes);
+                }
             };
             match delay {
                 0 => answer(),
@@ -249,6 +259,13 @@
 
     /// Sends a call; its number, or `None` where the connection has ended.
     pub fn try_send(&mut self, class: &str, object: u64) -> Option<u32> {
+        let (number, bytes) = self.encode(class, object);
+        self.stream.write_all(&bytes).ok()?;
+        Some(number)
+    }
+
+    /// A call's number and bytes.
+    fn encode(&mut self, class: &str, object: u64) -> (u32, Vec<u8>) {
         self.next += 1;
         let trace = format!("{:016x}", TRACES.fetch_add(1, Ordering::SeqCst));
         let object = format!("{object:016x}");
@@ -265,8 +282,7 @@
         let call = Value::Array(vec![0.into(), self.next.into(), class.into(), params]);
         let mut bytes = Vec::new();
         rmpv::encode::write_value(&mut bytes, &call).expect("memory");
-        self.stream.write_all(&bytes).ok()?;
-        Some(self.next)
+        (self.next, bytes)
     }
 
     /// The next answer, of whichever call.
@@ -289,6 +305,16 @@
         Some((number, answer))
     }
 
+    /// Sends a call a byte at a time, with a pause after each; its number.
+    pub fn send_in_pieces(&mut self, class: &str, object: u64, pause: Duration) -> u32 {
+        let (number, bytes) = self.encode(class, object);
+        for b in bytes {
+            self.stream.write_all(&[b]).expect("the front reads");
+            std::thread::sleep(pause);
+        }
+        number
+    }
+
     pub fn ask(&mut self, class: &str, object: u64) -> Answer {
         self.send(class, object);
         self.answer().1
--- a/crates/cli/tests/door.rs
+++ b/crates/cli/tests/door.rs
@@ -130,3 +130,23 @@
         "{sent} sent, {answered} answered, {turned_away} turned away"
     );
 }
+
+/// Peers that write in pieces: a client's call a byte at a time, and a cache node's answer a byte at a time. Each is
+/// taken whole and served, and neither is cut off as stalled while its bytes keep coming.
+#[test]
+fn calls_and_answers_in_pieces_are_served() {
+    let (a, origin) = (Node::start(), Node::start());
+    let site = format!(
+        "{SITE}member \"a\" address=\"{}\"\nmember \"o\" address=\"{}\" kind=\"origin\"\n",
+        a.addr, origin.addr
+    );
+    let front = Front::start("pieces", &site, &[]);
+    let mut client = front.client();
+    let number = client.send_in_pieces("docs", 1, Duration::from_millis(5));
+    assert_eq!(client.answer(), (number, Answer::Served));
+    a.state.pieces.store(true, std::sync::atomic::Ordering::SeqCst);
+    origin.state.pieces.store(true, std::sync::atomic::Ordering::SeqCst);
+    assert_eq!(client.ask("docs", 2), Answer::Served);
+    let number = client.send_in_pieces("docs", 3, Duration::from_millis(2));
+    assert_eq!(client.answer(), (number, Answer::Served));
+}
