--- /dev/null
+++ b/crates/fernslip/benches/decide.rs
@@ -0,0 +1,118 @@
+//! What the decisions cost at many caches: one request and its served outcome, a list delta of one cache, a purge,
+//! and the timers with many requests open; at 5 to 2,000 caches in the location (10,000 with
+//! `FERNSLIP_BENCH_LARGE=1`: on a quadratic module one decision there takes seconds).
+//!
+//!     cargo bench -p fernslip --bench decide
+
+#[path = "../tests/common/mod.rs"]
+#[allow(dead_code)]
+mod common;
+
+use common::{entry, sent, settings, Rig};
+use criterion::{BenchmarkId, Criterion};
+use fernslip::{Ending, Event, ObjectId, Phase};
+use std::hint::black_box;
+use std::time::Duration;
+
+/// Caches of the location, and two parents and an origin at the hub.
+fn rig(caches: usize, open_most: u32) -> Rig {
+    let mut s = settings();
+    s.max_open = open_most;
+    let mut rig = Rig::with(s);
+    let mut all: Vec<_> = (0..caches).map(|i| entry(&format!("c{i}:1"), 1, 0)).collect();
+    all.extend(["p1:1", "p2:1"].iter().map(|n| entry(n, 0, 1)));
+    all.push(entry("o1:1", 0, 2));
+    rig.list(all);
+    rig
+}
+
+/// One request, served: the module's whole ordinary path.
+fn decision(rig: &mut Rig, object: u64) {
+    rig.now += 1.0;
+    let Some(s) = sent(&rig.ask(object)) else { return };
+    rig.now += 1.0;
+    black_box(rig.end(&s, 0, Ending::Completed, 1));
+}
+
+fn sizes() -> Vec<usize> {
+    let mut all = vec![5, 20, 100, 500, 2000];
+    if std::env::var_os("FERNSLIP_BENCH_LARGE").is_some() {
+        all.push(10_000);
+    }
+    all
+}
+
+fn bench(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decision");
+    for caches in sizes() {
+        let mut rig = rig(caches, 1000);
+        (0..200).for_each(|n| decision(&mut rig, n % 500));
+        let mut n = 0;
+        group.bench_with_input(BenchmarkId::new("calm", caches), &caches, |b, _| {
+            b.iter(|| {
+                n += 1;
+                decision(&mut rig, n % 500);
+            })
+        });
+    }
+    group.finish();
+
+    let mut group = c.benchmark_group("delta");
+    for caches in sizes() {
+        let mut rig = rig(caches, 1000);
+        let mut draining = false;
+        group.bench_with_input(BenchmarkId::new("one cache", caches), &caches, |b, _| {
+            b.iter(|| {
+                draining = !draining;
+                let phase = if draining { Phase::Draining } else { Phase::In };
+                rig.now += 1.0;
+                black_box(rig.delta(fernslip::Entry { phase, ..entry("c0:1", 1, 0) }));
+            })
+        });
+    }
+    group.finish();
+
+    let mut group = c.benchmark_group("purge");
+    for caches in [20, 2000] {
+        let mut rig = rig(caches, 1000);
+        // Past the bound on purges that are kept, where each new one looks for the oldest.
+        for n in 0..5000 {
+            rig.event(Event::Purged { object: Some(ObjectId(n)), group: 3, age_ms: 0.0 });
+        }
+        let mut n = 5000;
+        group.bench_with_input(BenchmarkId::new("object", caches), &caches, |b, _| {
+            b.iter(|| {
+                n += 1;
+                rig.now += 0.1;
+                black_box(rig.event(Event::Purged { object: Some(ObjectId(n)), group: 3, age_ms: 0.0 }));
+            })
+        });
+    }
+    group.finish();
+
+    let mut group = c.benchmark_group("watch");
+    for open in [10, 1000, 100_000] {
+        let mut rig = rig(20, 200_000);
+        (0..open).for_each(|n| drop(rig.ask(n)));
+        // What the module holds may be fewer than were asked: it refuses past its own bounds.
+        let held = rig.router.held().0;
+        eprintln!("watch: {open} asked, {held} held open");
+        group.bench_with_input(BenchmarkId::new("timer, requests asked", open), &open, |b, _| {
+            b.iter(|| {
+                rig.now += 0.01;
+                black_box(rig.event(Event::Timer { token: 0 }));
+            })
+        });
+    }
+    group.finish();
+}
+
+fn main() {
+    let mut c = Criterion::default()
+        .sample_size(10)
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_secs(2))
+        .configure_from_args();
+    bench(&mut c);
+    c.final_summary();
+}
