--- a/crates/fernslip/benches/decide.rs
+++ b/crates/fernslip/benches/decide.rs
@@ -5,7 +5,6 @@
 //!     cargo bench -p fernslip --bench decide
 
 #[path = "../tests/common/mod.rs"]
-#[allow(dead_code)]
 mod common;
 
 use common::{entry, sent, settings, Rig};
