Benchmark decisions with one slow cache and with a tenth of the caches cold

One cache answers in 900 ms, the others in 50. A tenth of the caches (at least one) started a second before, and time moves by 1 us a call so they stay cold through the run (cold lasts 15 s in these settings).

--- a/crates/fernslip/benches/decide.rs
+++ b/crates/fernslip/benches/decide.rs
@@ -25,6 +25,18 @@
     rig
 }
 
+/// As [`rig`], with a tenth of the caches (at least one) started a second ago.
+fn cold_rig(caches: usize) -> Rig {
+    let mut rig = Rig::with(settings());
+    let born = rig.now - 1000.0;
+    let mut all: Vec<_> = (0..caches).map(|i| entry(&format!("c{i}:1"), 1, 0)).collect();
+    all.iter_mut().take(caches.div_ceil(10)).for_each(|e| e.born_ms = born);
+    all.extend(["p1:1", "p2:1"].iter().map(|n| entry(n, 0, 1)));
+    all.push(entry("o1:1", 0, 2));
+    rig.list(all);
+    rig
+}
+
 /// One request, served: the module's whole ordinary path.
 fn decision(rig: &mut Rig, object: u64) {
     rig.now += 1.0;
@@ -33,6 +45,16 @@
     black_box(rig.end(&s, 0, Ending::Completed, 1));
 }
 
+/// One request, served, where one cache answers slowly, and time moves by `step_ms` a call: small enough in the
+/// cold case that caches started just before stay cold through the run.
+fn decision_with(rig: &mut Rig, object: u64, step_ms: f64) {
+    rig.now += step_ms;
+    let Some(s) = sent(&rig.ask(object)) else { return };
+    rig.now += step_ms;
+    let elapsed_ms = if s.cache == "c0:1" { 900.0 } else { 50.0 };
+    black_box(rig.end_after(&s, 0, (Ending::Completed, 1), elapsed_ms));
+}
+
 fn sizes() -> Vec<usize> {
     let mut all = vec![5, 20, 100, 500, 2000];
     if std::env::var_os("FERNSLIP_BENCH_LARGE").is_some() {
@@ -54,6 +76,27 @@
             })
         });
     }
+    for caches in sizes() {
+        let mut rig = rig(caches, 1000);
+        (0..200).for_each(|n| decision_with(&mut rig, n % 500, 1.0));
+        let mut n = 0;
+        group.bench_with_input(BenchmarkId::new("one slow", caches), &caches, |b, _| {
+            b.iter(|| {
+                n += 1;
+                decision_with(&mut rig, n % 500, 1.0);
+            })
+        });
+    }
+    for caches in sizes() {
+        let mut rig = cold_rig(caches);
+        let mut n = 0;
+        group.bench_with_input(BenchmarkId::new("a tenth cold", caches), &caches, |b, _| {
+            b.iter(|| {
+                n += 1;
+                decision_with(&mut rig, n % 500, 0.001);
+            })
+        });
+    }
     group.finish();
 
     let mut group = c.benchmark_group("delta");
