Share the fleet builder and the door's exclude and include; tables in the door's tests

Seen: the duplicate check found the same lines in the decisions' two benchmarks and the recorded streams (a fleet of N caches, two parents, an origin), in the door's exclude and include arms, and the same site string in five tests.

Change: tests/common gains wide_fleet(caches, cold, born_ms) and the cli stand-ins members(nodes, origin); ops.rs has one by_hand for both calls; the door's calls and answers are tables. Not taken: a macro for the tests, which would hide the calls.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -320,3 +320,11 @@
         self.answer().1
     }
 }
+
+/// A site document's members: cache nodes by id, and an origin `o`.
+pub fn members(nodes: &[(&str, &Node)], origin: &Node) -> String {
+    let mut text: String =
+        nodes.iter().map(|(id, n)| format!("member \"{id}\" address=\"{}\"\n", n.addr)).collect();
+    text += &format!("member \"o\" address=\"{}\" kind=\"origin\"\n", origin.addr);
+    text
+}
--- a/crates/cli/tests/door.rs
+++ b/crates/cli/tests/door.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{Answer, Front, Node};
+use common::{members, Answer, Front, Node};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -35,10 +35,7 @@
     let kept = std::env::temp_dir().join(format!("fernslip-door-{}", std::process::id()));
     std::fs::create_dir_all(&kept).expect("a folder");
     let tmp = kept.display().to_string();
-    let site = format!(
-        "{SITE}member \"a\" address=\"{}\"\nmember \"b\" address=\"{}\"\nmember \"o\" address=\"{}\" kind=\"origin\"\n",
-        a.addr, b.addr, origin.addr
-    );
+    let site = format!("{SITE}{}", members(&[("a", &a), ("b", &b)], &origin));
     let front = Front::start_with("door", &site, &[], &[("RELAY_OPS", "127.0.0.1:0"), ("TMPDIR", &tmp)]);
     let line =
         front.seen.iter().find(|l| l.contains("operators' door at ")).expect("the door's line").clone();
@@ -51,8 +48,10 @@
     let asked = Instant::now();
     assert_eq!(call(&door, "readyz\n"), "200 ready\n");
     assert!(asked.elapsed() < ANSWER_WITHIN, "answered in {:?}", asked.elapsed());
-    assert_eq!(call(&door, "reboot\n"), "400 unknown call\n");
-    assert_eq!(call(&door, &format!("{}\n", "x".repeat(2000))), "400 too long\n");
+    let long = format!("{}\n", "x".repeat(2000));
+    for (line, answer) in [("reboot\n", "400 unknown call\n"), (&long, "400 too long\n")] {
+        assert_eq!(call(&door, line), answer);
+    }
 
     let mut client = front.client();
     for n in 0..3 {
@@ -64,9 +63,13 @@
     assert_eq!(figure(&figures, "relay.transactions.docs.sends"), Some((a.count() + b.count()) as u64));
     assert_eq!(figure(&figures, "relay.current"), Some(0));
 
-    assert_eq!(call(&door, "exclude nobody\n"), "400 unknown nobody\n");
-    assert_eq!(call(&door, "exclude a\n"), "200 excluded a\n");
-    assert_eq!(call(&door, "exclude a\n"), "200 excluded a\n");
+    for (line, answer) in [
+        ("exclude nobody\n", "400 unknown nobody\n"),
+        ("exclude a\n", "200 excluded a\n"),
+        ("exclude a\n", "200 excluded a\n"),
+    ] {
+        assert_eq!(call(&door, line), answer);
+    }
     let file = std::fs::read_to_string(kept.join("fernslip-d0.excluded")).expect("the kept set");
     assert_eq!(file.lines().skip(1).collect::<Vec<_>>(), ["a"]);
     let before = a.count();
@@ -76,10 +79,14 @@
     assert_eq!(a.count(), before, "nothing goes to a node out by hand");
     assert_eq!(call(&door, "include a\n"), "200 included a\n", "two out need one back");
 
-    assert_eq!(call(&door, "evacuate\n"), "200 evacuating\n");
-    assert_eq!(call(&door, "readyz\n"), "400 not ready\n");
-    assert_eq!(call(&door, "activate\n"), "200 active\n");
-    assert_eq!(call(&door, "readyz\n"), "200 ready\n");
+    for (line, answer) in [
+        ("evacuate\n", "200 evacuating\n"),
+        ("readyz\n", "400 not ready\n"),
+        ("activate\n", "200 active\n"),
+        ("readyz\n", "200 ready\n"),
+    ] {
+        assert_eq!(call(&door, line), answer);
+    }
     let _ = std::fs::remove_dir_all(&kept);
 }
 
@@ -89,10 +96,7 @@
 #[test]
 fn a_busy_kept_connection_is_emptied_at_the_end() {
     let (a, origin) = (Node::start(), Node::start());
-    let site = format!(
-        "{SITE}member \"a\" address=\"{}\"\nmember \"o\" address=\"{}\" kind=\"origin\"\n",
-        a.addr, origin.addr
-    );
+    let site = format!("{SITE}{}", members(&[("a", &a)], &origin));
     let mut front = Front::start("busy", &site, &[]);
     let mut client = front.client();
     let busy = std::thread::spawn(move || {
@@ -136,10 +140,7 @@
 #[test]
 fn calls_and_answers_in_pieces_are_served() {
     let (a, origin) = (Node::start(), Node::start());
-    let site = format!(
-        "{SITE}member \"a\" address=\"{}\"\nmember \"o\" address=\"{}\" kind=\"origin\"\n",
-        a.addr, origin.addr
-    );
+    let site = format!("{SITE}{}", members(&[("a", &a)], &origin));
     let front = Front::start("pieces", &site, &[]);
     let mut client = front.client();
     let number = client.send_in_pieces("docs", 1, Duration::from_millis(5));
--- a/crates/cli/tests/handover.rs
+++ b/crates/cli/tests/handover.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use command_fds::{CommandFdExt, FdMapping};
-use common::{Answer, Front, Node};
+use common::{members, Answer, Front, Node};
 use std::net::TcpListener;
 use std::os::fd::OwnedFd;
 
@@ -22,10 +22,7 @@
 #[test]
 fn two_processes_serve_from_one_handed_socket_and_the_old_one_leaves() {
     let (a, origin) = (Node::start(), Node::start());
-    let site = format!(
-        "{SITE}member \"a\" address=\"{}\"\nmember \"o\" address=\"{}\" kind=\"origin\"\n",
-        a.addr, origin.addr
-    );
+    let site = format!("{SITE}{}", members(&[("a", &a)], &origin));
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let at = listener.local_addr().expect("bound").to_string();
 
@@ -52,10 +49,7 @@
 #[test]
 fn a_descriptor_that_is_no_listener_is_told_and_the_front_binds_its_own() {
     let (a, origin) = (Node::start(), Node::start());
-    let site = format!(
-        "{SITE}member \"a\" address=\"{}\"\nmember \"o\" address=\"{}\" kind=\"origin\"\n",
-        a.addr, origin.addr
-    );
+    let site = format!("{SITE}{}", members(&[("a", &a)], &origin));
     let front = Front::start_with("nodesc", &site, &[], &[("RELAY_PASSED_SOCKET", "fd3")]);
     assert!(front.seen.iter().any(|l| l.contains("is no descriptor of 3 or more")), "{:?}", front.seen);
     assert_eq!(front.client().ask("docs", 1), Answer::Served);
@@ -64,10 +58,7 @@
 #[test]
 fn a_handed_socket_that_is_not_a_tcp_listener_is_told_and_the_front_binds_its_own() {
     let (a, origin) = (Node::start(), Node::start());
-    let site = format!(
-        "{SITE}member \"a\" address=\"{}\"\nmember \"o\" address=\"{}\" kind=\"origin\"\n",
-        a.addr, origin.addr
-    );
+    let site = format!("{SITE}{}", members(&[("a", &a)], &origin));
     let datagrams = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
     let fd = OwnedFd::from(datagrams);
     let front = Front::start_prepared("udp", &site, &[], &[("RELAY_PASSED_SOCKET", "3")], |command| {
--- a/crates/fernslip/benches/allocs.rs
+++ b/crates/fernslip/benches/allocs.rs
@@ -6,15 +6,12 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 
-use common::{entry, sent, settings, Rig};
+use common::{sent, settings, wide_fleet, Rig};
 use fernslip::Ending;
 
 fn rig(caches: usize) -> Rig {
     let mut rig = Rig::with(settings());
-    let mut all: Vec<_> = (0..caches).map(|i| entry(&format!("c{i}:1"), 1, 0)).collect();
-    all.extend(["p1:1", "p2:1"].iter().map(|n| entry(n, 0, 1)));
-    all.push(entry("o1:1", 0, 2));
-    rig.list(all);
+    rig.list(wide_fleet(caches, 0, 0.0));
     rig
 }
 
--- a/crates/fernslip/benches/decide.rs
+++ b/crates/fernslip/benches/decide.rs
@@ -7,7 +7,7 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 
-use common::{entry, sent, settings, Rig};
+use common::{entry, sent, settings, wide_fleet, Rig};
 use criterion::{BenchmarkId, Criterion};
 use fernslip::{Ending, Event, ObjectId, Phase};
 use std::hint::black_box;
@@ -18,10 +18,7 @@
     let mut s = settings();
     s.max_open = open_most;
     let mut rig = Rig::with(s);
-    let mut all: Vec<_> = (0..caches).map(|i| entry(&format!("c{i}:1"), 1, 0)).collect();
-    all.extend(["p1:1", "p2:1"].iter().map(|n| entry(n, 0, 1)));
-    all.push(entry("o1:1", 0, 2));
-    rig.list(all);
+    rig.list(wide_fleet(caches, 0, 0.0));
     rig
 }
 
@@ -29,11 +26,7 @@
 fn cold_rig(caches: usize) -> Rig {
     let mut rig = Rig::with(settings());
     let born = rig.now - 1000.0;
-    let mut all: Vec<_> = (0..caches).map(|i| entry(&format!("c{i}:1"), 1, 0)).collect();
-    all.iter_mut().take(caches.div_ceil(10)).for_each(|e| e.born_ms = born);
-    all.extend(["p1:1", "p2:1"].iter().map(|n| entry(n, 0, 1)));
-    all.push(entry("o1:1", 0, 2));
-    rig.list(all);
+    rig.list(wide_fleet(caches, caches.div_ceil(10), born));
     rig
 }
 
--- a/crates/fernslip/tests/common/mod.rs
+++ b/crates/fernslip/tests/common/mod.rs
@@ -204,3 +204,12 @@
         s
     }
 }
+
+/// `caches` caches of the location, the first `cold` of them started at `born_ms`, two parents and an origin.
+pub fn wide_fleet(caches: usize, cold: usize, born_ms: f64) -> Vec<Entry> {
+    let mut all: Vec<Entry> = (0..caches).map(|i| entry(&format!("c{i}:1"), 1, 0)).collect();
+    all.iter_mut().take(cold).for_each(|e| e.born_ms = born_ms);
+    all.extend(["p1:1", "p2:1"].iter().map(|n| entry(n, 0, 1)));
+    all.push(entry("o1:1", 0, 2));
+    all
+}
--- a/crates/fernslip/tests/streams.rs
+++ b/crates/fernslip/tests/streams.rs
@@ -7,7 +7,7 @@
 
 mod common;
 
-use common::{entry, settings};
+use common::{settings, wide_fleet};
 use fernslip::*;
 use md5::{Digest, Md5};
 use std::collections::VecDeque;
@@ -50,12 +50,8 @@
     let mut draw = Draw(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
     let mut router = Router::new(settings(), seed).expect("settings are sound");
     let mut now = 100_000.0;
-    let mut all: Vec<Entry> = (0..caches).map(|i| entry(&format!("c{i}:1"), 1, 0)).collect();
-    if matches!(kind, Kind::Cold) {
-        all.iter_mut().take(caches / 3 + 1).for_each(|e| e.born_ms = now - 500.0);
-    }
-    all.extend(["p1:1", "p2:1"].iter().map(|n| entry(n, 0, 1)));
-    all.push(entry("o1:1", 0, 2));
+    let cold = if matches!(kind, Kind::Cold) { caches / 3 + 1 } else { 0 };
+    let all = wide_fleet(caches, cold, now - 500.0);
     let mut hash = Md5::new();
     let mut count = 0;
     let mut out = Vec::new();
--- a/crates/front/src/ops.rs
+++ b/crates/front/src/ops.rs
@@ -222,7 +222,6 @@
 
 /// Carries a call out; the answer's lines.
 pub fn answer(front: &Shared, call: Call) -> String {
-    let now = front.clock.now();
     let lanes = front.lanes.all();
     match call {
         Call::Ready if front.is_well() => "200 ready\n".into(),
@@ -232,26 +231,8 @@
             format!("200 telemetry\n{}EOF\n", front.figures.lines(listed, avoided))
         }
         Call::Exclude(id) | Call::Include(id) if lanes.is_empty() => format!("400 unknown {id}\n"),
-        Call::Exclude(id) => {
-            let cache = CacheId::from(id.as_str());
-            let known = lanes.iter().fold(false, |known, l| l.dispatcher.exclude(now, &cache) | known);
-            if !known {
-                return format!("400 unknown {id}\n");
-            }
-            keep(front);
-            tracing::info!(node = %id, "ops: excluded");
-            format!("200 excluded {id}\n")
-        }
-        Call::Include(id) => {
-            let cache = CacheId::from(id.as_str());
-            let known = lanes.iter().fold(false, |known, l| l.dispatcher.include(now, &cache) | known);
-            if !known {
-                return format!("400 unknown {id}\n");
-            }
-            keep(front);
-            tracing::info!(node = %id, "ops: included");
-            format!("200 included {id}\n")
-        }
+        Call::Exclude(id) => by_hand(front, &id, true),
+        Call::Include(id) => by_hand(front, &id, false),
         Call::Evacuate => {
             front.server.evacuate(true);
             tracing::info!("ops: evacuating");
@@ -265,6 +246,23 @@
     }
 }
 
+/// Takes a node out by hand, or puts it back, in every lane; keeps the set where some lane knows the id.
+fn by_hand(front: &Shared, id: &str, out: bool) -> String {
+    let (now, cache) = (front.clock.now(), CacheId::from(id));
+    let lanes = front.lanes.all().iter();
+    let known = lanes.fold(false, |known, l| {
+        let d = &l.dispatcher;
+        (if out { d.exclude(now, &cache) } else { d.include(now, &cache) }) | known
+    });
+    if !known {
+        return format!("400 unknown {id}\n");
+    }
+    keep(front);
+    let what = if out { "excluded" } else { "included" };
+    tracing::info!(node = %id, "ops: {what}");
+    format!("200 {what} {id}\n")
+}
+
 /// Writes the set of nodes out by hand for a process that replaces this one.
 fn keep(front: &Shared) {
     let mut ids: Vec<CacheId> = front.lanes.all().iter().flat_map(|l| l.dispatcher.excluded()).collect();
