--- a/crates/fernslip/src/lib.rs
+++ b/crates/fernslip/src/lib.rs
@@ -115,6 +115,7 @@
 mod place;
 mod policy;
 mod share;
+mod state;
 
 pub use api::*;
 pub use policy::Router;
--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -1,15 +1,17 @@
 //! Every decision of fernslip. Its interface (settings, events, actions) is the one file `src/api.rs`;
-//! `src/filter.rs` is the counting filter, `src/share.rs` a moving count, `src/cold.rs` turns at a cold one.
+//! `src/state.rs` is what is held of machines and requests, `src/filter.rs` the counting filter, `src/share.rs` a
+//! moving count, `src/cold.rs` turns at a cold one.
 //!
 //! Reads in this order: constants, state, events in the order in which a request lives, guards.
 
 use crate::api::*;
 use crate::cold::Warming;
-use crate::filter::{encode, hash, Change, Filter, Hashes};
+use crate::filter::{encode, hash, Change, Filter};
 use crate::message::{self, Message};
 use crate::place::{mix, score, word};
-use crate::share::{Crowd, Gate};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use crate::share::Gate;
+use crate::state::{Attempt, Cache, Plan, Req, Role, Way};
+use std::collections::{BTreeMap, BTreeSet};
 
 // The design's own figures. Counters: some 16 for each key that a cache sees in a generation at 100/s.
 const COUNTERS: usize = 16384;
@@ -60,7 +62,6 @@
 // A machine's pace: how many times their sending time its fills (of a cache: its hits) take, a moving average
 // that fades.
 const PACE_STEP: f64 = 0.4; // large, as one of many routers sees few fills of each
-const PACE_FADES_MS: f64 = 10_000.0;
 const PACE_SEEN_MS: f64 = 1_000.0; // until it counts by half at a cold box
 const PACE_BASE_MS: f64 = 100.0; // what a fill takes besides its sending
 const HIT_BASE_MS: f64 = 10.0; // what a hit takes besides its sending
@@ -102,93 +103,6 @@
 /// Sending time where no size is told and none was seen, in aims.
 const UNTOLD: f64 = 0.1;
 
-#[derive(Clone, Copy, PartialEq, Default)]
-enum Role {
-    #[default]
-    Edge,
-    Parent,
-    Origin,
-}
-
-#[derive(Default)]
-struct Cache {
-    role: Role,
-    zone: Option<usize>,
-    cell: i64,
-    phase: Phase,
-    /// As listed.
-    told: f64,
-    weight: f64,
-    born: f64,
-    tag: u64,
-    filter: Filter,
-    changes: Vec<Change>,
-    bad: f64,
-    /// What others say of it: below 0 well, above 0 failing.
-    said: f64,
-    ejected: bool,
-    next_trial: f64,
-    open: Crowd,
-    pace: f64,
-    paced: f64,
-    /// When it is silent if nothing is heard before; set by the first attempt after the last sign of life.
-    quiet_by: Option<f64>,
-    heard: f64,
-    blamed: f64,
-    sent: VecDeque<(f64, f64)>,
-}
-
-struct Attempt {
-    cache: CacheId,
-    source: CacheId,
-    sent: f64,
-    way: Way,
-    open: bool,
-    called_off: bool,
-    ending: Option<Ending>,
-}
-
-struct Req {
-    ask: Request,
-    key: Hashes,
-    deadline: f64,
-    work_ms: f64,
-    aim_ms: f64,
-    attempts: Vec<Attempt>,
-    /// Targets and sources that failed this request.
-    failed: BTreeSet<CacheId>,
-    done: bool,
-}
-
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Way {
-    /// The target's filter shows it.
-    Hit,
-    /// A sibling, a parent or the origin gives it.
-    Fill,
-    Write,
-}
-
-/// Target, source, and what is expected of them.
-type Plan = (CacheId, CacheId, Way);
-
-impl Cache {
-    fn pace_at(&self, now: f64) -> f64 {
-        1.0 + (self.pace - 1.0) * (-(now - self.paced) / PACE_FADES_MS).exp()
-    }
-
-    /// Nothing was heard of it when something should have been.
-    fn silent(&self, now: f64) -> bool {
-        self.quiet_by.is_some_and(|q| now > q)
-    }
-}
-
-impl Req {
-    fn is_open(&self) -> bool {
-        self.attempts.iter().any(|a| a.open)
-    }
-}
-
 /// The decisions of one router.
 pub struct Router {
     set: Settings,
--- /dev/null
+++ b/crates/fernslip/src/state.rs
@@ -0,0 +1,96 @@
+//! What a router holds of each machine and of each request under way: data, and the questions one of them answers alone.
+
+use crate::api::*;
+use crate::filter::{Change, Filter, Hashes};
+use crate::share::Crowd;
+use std::collections::{BTreeSet, VecDeque};
+
+/// A machine's pace is forgotten so fast, in milliseconds.
+const PACE_FADES_MS: f64 = 10_000.0;
+
+#[derive(Clone, Copy, PartialEq, Default)]
+pub enum Role {
+    #[default]
+    Edge,
+    Parent,
+    Origin,
+}
+
+#[derive(Default)]
+pub struct Cache {
+    pub role: Role,
+    pub zone: Option<usize>,
+    pub cell: i64,
+    pub phase: Phase,
+    /// As listed.
+    pub told: f64,
+    pub weight: f64,
+    pub born: f64,
+    pub tag: u64,
+    pub filter: Filter,
+    pub changes: Vec<Change>,
+    pub bad: f64,
+    /// What others say of it: below 0 well, above 0 failing.
+    pub said: f64,
+    pub ejected: bool,
+    pub next_trial: f64,
+    pub open: Crowd,
+    pub pace: f64,
+    pub paced: f64,
+    /// When it is silent if nothing is heard before; set by the first attempt after the last sign of life.
+    pub quiet_by: Option<f64>,
+    pub heard: f64,
+    pub blamed: f64,
+    pub sent: VecDeque<(f64, f64)>,
+}
+
+pub struct Attempt {
+    pub cache: CacheId,
+    pub source: CacheId,
+    pub sent: f64,
+    pub way: Way,
+    pub open: bool,
+    pub called_off: bool,
+    pub ending: Option<Ending>,
+}
+
+pub struct Req {
+    pub ask: Request,
+    pub key: Hashes,
+    pub deadline: f64,
+    pub work_ms: f64,
+    pub aim_ms: f64,
+    pub attempts: Vec<Attempt>,
+    /// Targets and sources that failed this request.
+    pub failed: BTreeSet<CacheId>,
+    pub done: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Way {
+    /// The target's filter shows it.
+    Hit,
+    /// A sibling, a parent or the origin gives it.
+    Fill,
+    Write,
+}
+
+/// Target, source, and what is expected of them.
+pub type Plan = (CacheId, CacheId, Way);
+
+impl Cache {
+    pub fn pace_at(&self, now: f64) -> f64 {
+        1.0 + (self.pace - 1.0) * (-(now - self.paced) / PACE_FADES_MS).exp()
+    }
+
+    /// Nothing was heard of it when something should have been.
+    pub fn silent(&self, now: f64) -> bool {
+        self.quiet_by.is_some_and(|q| now > q)
+    }
+}
+
+impl Req {
+    pub fn is_open(&self) -> bool {
+        self.attempts.iter().any(|a| a.open)
+    }
+}
