Judge a cold box also by what it was seen to send; told links are a first guess

Change: Delivered, the work a cold box was seen to send over half a second, at the answer's own pace: it may be asked for the same multiple of that. Links that are told give a first guess of widths. Option not taken: counting what was open (counts fills that wait for their source).

--- a/crates/fernslip/src/cold.rs
+++ b/crates/fernslip/src/cold.rs
@@ -11,6 +11,8 @@
     pub from: f64,
     /// It is warm after this time, in milliseconds.
     pub ms: f64,
+    /// How many times what it can do now it stands.
+    pub multiple: f64,
     /// Work that all routers may send it when warm, in milliseconds of sending a millisecond.
     pub rate: f64,
 }
@@ -48,7 +50,7 @@
 
     #[test]
     fn turns_of_all_routers_are_all_turns() {
-        let w = Warming { from: 0.1, ms: 10_000.0, rate: 5.0 };
+        let w = Warming { from: 0.1, ms: 10_000.0, multiple: 2.0, rate: 5.0 };
         for routers in [1, 3, 7, 100] {
             for age in (0..12_000).step_by(130).map(f64::from) {
                 let all: u32 = (0..routers).map(|k| w.turns(age, 1500.0, 300.0, k, routers)).sum();
@@ -61,7 +63,7 @@
 
     #[test]
     fn what_is_allowed_follows_its_warmth() {
-        let w = Warming { from: 0.25, ms: 8_000.0, rate: 2.0 };
+        let w = Warming { from: 0.25, ms: 8_000.0, multiple: 2.0, rate: 2.0 };
         for age in (0..9_000).step_by(500).map(f64::from) {
             let slope = w.allowed(age + 0.5) - w.allowed(age - 0.5).max(0.0);
             let half = if age == 0.0 { 0.5 } else { 1.0 };
--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -11,7 +11,7 @@
 use crate::place::{mix, score, word};
 use crate::share::Gate;
 use crate::state::{Attempt, Cache, Plan, Req, Role, Way};
-use crate::width::Width;
+use crate::width::Delivered;
 use std::collections::{BTreeMap, BTreeSet};
 
 // The design's own figures. Counters: some 16 for each key that a cache sees in a generation at 100/s.
@@ -101,6 +101,8 @@
     watching: bool,
     /// By role, what machines were seen to carry, on average.
     typical: [f64; 3],
+    /// By role, the least that told links let expect; 0: none are told.
+    first: [f64; 3],
     fills: Gate,
     given_up: BTreeMap<&'static str, u32>,
     next_log: f64,
@@ -130,6 +132,7 @@
             next_age: 0.0,
             watching: false,
             typical: [0.0; 3],
+            first: [0.0; 3],
             fills: Gate::default(),
             given_up: BTreeMap::new(),
             next_log: 0.0,
@@ -224,12 +227,18 @@
                 c.filter.clear();
                 c.changes.clear();
                 (c.bad, c.said, c.ejected, c.quiet_by, c.pace) = (0.0, 0.0, false, None, 1.0);
-                c.cold = Width::default();
+                c.cold = Delivered::default();
             }
             (c.role, c.zone, c.cell, c.phase) = (role, e.zone, e.cell, e.phase);
             c.told = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
             c.width.guess(c.told);
         }
+        // Caches that keep anything send more than their link brings in, and a parent feeds a location or more.
+        let links = self.set.link_in_kb_per_s.iter().map(|kb| kb / self.set.stream_kb_per_s);
+        let told: Vec<f64> = links.clone().filter(|l| *l > 0.0).collect();
+        let n = self.caches.values().filter(|c| c.role == Role::Edge && c.phase != Phase::Out).count();
+        let own = links.clone().nth(self.set.zone).unwrap_or(0.0) / n.max(1) as f64;
+        self.first = [own, told.iter().sum::<f64>() / told.len().max(1) as f64, 0.0];
         // Where links are told, pooled caches need fills for a part of what they can send.
         let told = self.caches.values().filter(|c| c.role == Role::Edge && c.told != 1.0);
         self.fills.guess(told.map(|c| c.told).sum::<f64>() * FILLS_PER_WEIGHT);
@@ -491,20 +500,18 @@
         c.told * self.warmth(c) * self.quickness(c)
     }
 
-    /// What it carries when warm: as it showed, else as its fellows did, else as listed.
+    /// What it carries when warm: as it showed, else as its fellows did, else as told links let expect.
     fn width(&self, c: &Cache) -> f64 {
-        let known =
-            if c.width.full { c.width.carries } else { self.typical[c.role as usize].max(c.width.carries) };
-        if known > 0.0 {
-            known
-        } else {
-            c.told
+        let role = c.role as usize;
+        match c.width.full {
+            true => c.width.carries,
+            false => c.width.carries.max(self.typical[role]).max(self.first[role]).max(1.0),
         }
     }
 
     /// What it carries now. One that warms up carries at least what the rules tell, and what it has shown.
     fn carries(&self, c: &Cache) -> f64 {
-        (self.width(c) * self.warmth(c)).max(c.cold.carries)
+        (self.width(c) * self.warmth(c)).max(c.cold.rate(self.now) * self.sharers(c))
     }
 
     /// How many routers may send to it or fill from it.
@@ -527,10 +534,9 @@
     /// Takes in what an answer shows of a link: a cache's by its hits, a source's by the fills from it.
     fn measure(&mut self, id: &CacheId, work_ms: f64, took_ms: f64, base_ms: f64, seen: f64) {
         let open = (self.seen(id) - seen) / took_ms.max(1.0);
-        let Some(cold) = self.caches.get(id).map(|c| self.warming(c).is_some()) else { return };
-        let Some(c) = self.caches.get_mut(id) else { return };
-        let width = if cold { &mut c.cold } else { &mut c.width };
-        width.answered(work_ms, took_ms, base_ms, open);
+        let cold = self.caches.get(id).is_none_or(|c| self.warming(c).is_some());
+        let Some(c) = self.caches.get_mut(id).filter(|_| !cold) else { return };
+        c.width.answered(work_ms, took_ms, base_ms, open);
         let role = c.role;
         let like = self.caches.values().filter(|c| c.role == role && c.width.carries > 0.0);
         let (n, sum) = like.fold((0.0, 0.0), |(n, sum), c| (n + 1.0, sum + c.width.carries));
@@ -546,7 +552,7 @@
             _ => (self.set.cold_from, self.set.cold_ms, self.set.cold_multiple),
         };
         let cold = c.born > 0.0 && c.role != Role::Origin && self.now - c.born < ms;
-        cold.then_some(Warming { from, ms, rate: multiple * self.width(c) * COLD_USE })
+        cold.then_some(Warming { from, ms, multiple, rate: multiple * self.width(c) * COLD_USE })
     }
 
     fn warmth(&self, c: &Cache) -> f64 {
@@ -566,6 +572,8 @@
         let (window, age) = (self.set.cold_window_ms, self.now - c.born);
         let spent: f64 = c.sent.iter().filter(|s| s.0 >= self.now - window).map(|s| s.1).sum();
         let part = warming.rate * warming.warmth(age) * window / f64::from(routers);
+        // What a router saw it send lately it can send now, and may be asked for within the same multiple.
+        let part = part.max(warming.multiple * COLD_USE * c.cold.rate(self.now) * window);
         let cost = self.mean_ms[req.ask.class];
         let turn = self.mean_ms.iter().copied().fold(cost, f64::max);
         if part >= turn {
@@ -702,6 +710,17 @@
         match o.ending {
             Ending::Completed => {
                 self.verdict(cache, 0.0, out);
+                let (now, work_ms) = (self.now, req.work_ms);
+                // What joined a fill came over its source's link with that fill.
+                for id in
+                    [Some(cache), Some(source).filter(|_| matches!(o.detail, 2 | 3))].into_iter().flatten()
+                {
+                    let cold =
+                        self.caches.get(id).is_some_and(|c| sent >= c.born && self.warming(c).is_some());
+                    if let Some(c) = self.caches.get_mut(id).filter(|_| cold) {
+                        c.cold.add(now, work_ms, o.elapsed_ms);
+                    }
+                }
                 let filled = matches!(o.detail, 2 | 3) || (o.detail == 0 && !shown);
                 if filled && source != cache {
                     self.verdict(source, 0.0, out);
--- a/crates/fernslip/src/state.rs
+++ b/crates/fernslip/src/state.rs
@@ -3,7 +3,7 @@
 use crate::api::*;
 use crate::filter::{Change, Filter, Hashes};
 use crate::share::Crowd;
-use crate::width::Width;
+use crate::width::{Delivered, Width};
 use std::collections::{BTreeSet, VecDeque};
 
 /// A machine's pace is forgotten so fast, in milliseconds.
@@ -27,8 +27,8 @@
     pub told: f64,
     /// What its link carries, as answers showed while it was warm.
     pub width: Width,
-    /// The same while it warms up: what it carried so far.
-    pub cold: Width,
+    /// What this router saw it send while it warms up.
+    pub cold: Delivered,
     pub born: f64,
     pub tag: u64,
     pub filter: Filter,
--- a/crates/fernslip/src/width.rs
+++ b/crates/fernslip/src/width.rs
@@ -54,6 +54,31 @@
     }
 }
 
+/// Deliveries are averaged over so long, in milliseconds: some answers of a machine in light use.
+const DELIVERED_MS: f64 = 500.0;
+
+/// Work that a machine was seen to send of late, a moving average: what it can do at the least.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Delivered {
+    rate: f64,
+    at: f64,
+}
+
+impl Delivered {
+    /// An answer of `work_ms` of sending has come whole at the time `now`, `took_ms` after it was asked for: of one that
+    /// took long, only the last part came of late.
+    pub fn add(&mut self, now: f64, work_ms: f64, took_ms: f64) {
+        if work_ms > 0.0 && took_ms >= 0.0 {
+            *self = Delivered { rate: self.rate(now) + work_ms / took_ms.max(DELIVERED_MS), at: now };
+        }
+    }
+
+    /// In transfers at full pace at the time `now`, this router's own alone.
+    pub fn rate(&self, now: f64) -> f64 {
+        self.rate * (-(now - self.at).max(0.0) / DELIVERED_MS).exp()
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -96,6 +121,18 @@
         assert!(w.carries > 10.0 && w.carries < 14.0, "{w:?}");
     }
 
+    #[test]
+    fn what_is_delivered_evenly_is_the_rate_and_fades() {
+        let mut d = Delivered::default();
+        (0..2_000).for_each(|n| d.add(10.0 * f64::from(n), 30.0, 40.0));
+        assert!((d.rate(20_000.0) - 3.0).abs() < 0.05, "{d:?}");
+        assert!(d.rate(30_000.0) < 0.05);
+        // Ten at once over a link that carries two of them at a time: they end together, and show two and no more.
+        let mut d = Delivered::default();
+        (0..10).for_each(|_| d.add(1_000.0, 200.0, 1_000.0));
+        assert!((d.rate(1_000.0) - 2.0).abs() < 1e-9, "{d:?}");
+    }
+
     #[test]
     fn what_is_no_time_changes_nothing() {
         let mut w = Width::default();
--- a/crates/fernslip/tests/weights.rs
+++ b/crates/fernslip/tests/weights.rs
@@ -81,3 +81,46 @@
     let to_cold = (0..2000).filter_map(|o| sent(&r.ask(o))).filter(|s| s.cache == "c1:1").count();
     assert!((5..=80).contains(&to_cold), "{to_cold} attempts");
 }
+
+/// Seen at a front that restarts as its location comes back cold: it knows no width, took each box for a link of one
+/// transfer, and refused nearly all until they were warm.
+#[test]
+fn a_router_that_knows_nothing_learns_from_cold_caches() {
+    let mut set = settings();
+    (set.cold_ms, set.cold_multiple, set.cold_window_ms) = (16_000.0, 2.0, 2_000.0);
+    let (from, cold_ms, multiple, window) =
+        (set.cold_from, set.cold_ms, set.cold_multiple, set.cold_window_ms);
+    let mut r = Rig::with(set);
+    let born = r.now;
+    r.list(
+        fleet()
+            .into_iter()
+            .map(|e| Entry { weight: 1.0, born_ms: if e.kind == Some(0) { born } else { 0.0 }, ..e })
+            .collect(),
+    );
+    // Links of 10 transfers when warm. A request of 200 ms of sending every 20 ms: 3.3 transfers each.
+    let (real, work) = (10.0, 200.0);
+    let now_carries = |at: f64| real * (from + (1.0 - from) * ((at - born) / cold_ms).min(1.0));
+    let mut open: Vec<(f64, Sent)> = Vec::new();
+    let (mut sends, mut served_late) = (Vec::<(f64, String)>::new(), 0);
+    for step in 0..500 {
+        r.now = born + 20.0 * f64::from(step);
+        let due: Vec<_> = open.iter().filter(|o| o.0 <= r.now).cloned().collect();
+        open.retain(|o| o.0 > r.now);
+        due.iter()
+            .for_each(|(at, s)| drop(r.end_after(s, 0, (Ending::Completed, 1), (r.now - at).max(work))));
+        if let Some(s) = sent(&r.ask_with(step as u64 % 40, 0, work)) {
+            let there = 1.0 + open.iter().filter(|o| o.1.cache == s.cache).count() as f64;
+            open.push((r.now + work * (there / now_carries(r.now)).max(1.0), s.clone()));
+            sends.push((r.now, s.cache));
+            served_late += u32::from(step >= 250);
+        }
+    }
+    for (n, (at, cache)) in sends.iter().enumerate() {
+        let window_sends = sends[n..].iter().take_while(|s| s.0 < at + window).filter(|s| s.1 == *cache);
+        let budget = multiple * now_carries(*at + window) * window;
+        let asked = window_sends.count() as f64 * work;
+        assert!(asked <= budget, "{asked} ms asked of {cache} from {at}, {budget} at the most");
+    }
+    assert!(served_late > 225, "{served_late} of 250 after five seconds");
+}
