Name the origin where parents crawl; cold boxes of several fronts by turns alone

Ruled out: caches' links (hits took 1.1 times their sending), the limit on fills (late by the source). Change: a parent whose quicker fills would be late for the request gives way to an origin whose would not (is_late, choose).

--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -53,7 +53,6 @@
 
 // A machine's pace: how many times their sending time its fills (of a cache: its hits) take, a moving average
 // that fades.
-const PACE_STEP: f64 = 0.4; // large, as one of many routers sees few fills of each
 const PACE_SEEN_MS: f64 = 1_000.0; // until it counts by half at a cold box
 const PACE_BASE_MS: f64 = 100.0; // what a fill takes besides its sending
 const HIT_BASE_MS: f64 = 10.0; // what a hit takes besides its sending
@@ -219,6 +218,7 @@
                 tag: word(hash(&id.0.bytes().map(u64::from).collect::<Vec<_>>())),
                 phase: e.phase,
                 pace: 1.0,
+                quick: 1.0,
                 filter: if role == Role::Edge { Filter::new(COUNTERS, HASHES) } else { Filter::default() },
                 ..Cache::default()
             });
@@ -226,14 +226,14 @@
                 c.born = c.born.max(e.born_ms);
                 c.filter.clear();
                 c.changes.clear();
-                (c.bad, c.said, c.ejected, c.quiet_by, c.pace) = (0.0, 0.0, false, None, 1.0);
-                c.cold = Delivered::default();
+                (c.bad, c.said, c.ejected, c.quiet_by, c.pace, c.quick) = (0.0, 0.0, false, None, 1.0, 1.0);
+                c.lately = Delivered::default();
             }
             (c.role, c.zone, c.cell, c.phase) = (role, e.zone, e.cell, e.phase);
             c.told = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
             c.width.guess(c.told);
         }
-        // Caches that keep anything send more than their link brings in, and a parent feeds a location or more.
+        // Caches that keep anything send more than their link brings in; a parent feeds a location or more.
         let links = self.set.link_in_kb_per_s.iter().map(|kb| kb / self.set.stream_kb_per_s);
         let told: Vec<f64> = links.clone().filter(|l| *l > 0.0).collect();
         let n = self.caches.values().filter(|c| c.role == Role::Edge && c.phase != Phase::Out).count();
@@ -427,6 +427,8 @@
         let home = fits.first().filter(|f| in_time(f.1)).or(spill);
         let &(id, home) = home.ok_or("caches are crowded")?;
         let (parent, origin) = (self.source(req, Role::Parent), self.source(req, Role::Origin));
+        let late = |id: &CacheId| self.is_late(&self.caches[id], req);
+        let parent = parent.filter(|p| !late(p) || origin.is_none_or(late));
         if class.write {
             let source = if req.attempts.len() % 2 == 0 { origin.or(parent) } else { parent.or(origin) };
             let source = source.ok_or(NO_SOURCE)?;
@@ -459,6 +461,12 @@
         scored.min_by(|a, b| b.0.total_cmp(&a.0)).map(|s| s.1)
     }
 
+    /// Whether a fill from a source would come later than wanted, as its others did.
+    fn is_late(&self, c: &Cache, req: &Req) -> bool {
+        let pace = if c.role == Role::Origin { c.pace_at(self.now) } else { c.pace_of_quick(self.now) };
+        (req.work_ms + PACE_BASE_MS) * pace > req.aim_ms
+    }
+
     /// Whether a machine may be used for this request, as target or source.
     fn fits(&self, id: &CacheId, c: &Cache, req: &Req) -> bool {
         let usable = !(c.ejected || c.silent(self.now)) || self.now >= c.next_trial;
@@ -511,7 +519,7 @@
 
     /// What it carries now. One that warms up carries at least what the rules tell, and what it has shown.
     fn carries(&self, c: &Cache) -> f64 {
-        (self.width(c) * self.warmth(c)).max(c.cold.rate(self.now) * self.sharers(c))
+        (self.width(c) * self.warmth(c)).max(c.lately.rate(self.now) * self.sharers(c))
     }
 
     /// How many routers may send to it or fill from it.
@@ -573,7 +581,10 @@
         let spent: f64 = c.sent.iter().filter(|s| s.0 >= self.now - window).map(|s| s.1).sum();
         let part = warming.rate * warming.warmth(age) * window / f64::from(routers);
         // What a router saw it send lately it can send now, and may be asked for within the same multiple.
-        let part = part.max(warming.multiple * COLD_USE * c.cold.rate(self.now) * window);
+        // One of several goes by that only where it knows no width: two ways at once would add up.
+        let blind = routers == 1 || !c.width.full && self.typical[c.role as usize] == 0.0;
+        let shown = if blind { c.lately.rate(self.now) } else { 0.0 };
+        let part = part.max(warming.multiple * COLD_USE * shown * window);
         let cost = self.mean_ms[req.ask.class];
         let turn = self.mean_ms.iter().copied().fold(cost, f64::max);
         if part >= turn {
@@ -655,8 +666,7 @@
             let took = o.elapsed_ms / (req.work_ms + base);
             let edge = |c: &Cache| c.role == Role::Edge;
             if let Some(c) = self.caches.get_mut(id).filter(|c| hit == edge(c) && (hit || !crawls)) {
-                c.pace = c.pace_at(now) + PACE_STEP * (took - c.pace_at(now));
-                c.paced = now;
+                c.paced(now, took);
                 let seen = seen[usize::from(!hit)];
                 self.measure(&id.clone(), req.work_ms, o.elapsed_ms, base, seen);
             }
@@ -715,10 +725,10 @@
                 for id in
                     [Some(cache), Some(source).filter(|_| matches!(o.detail, 2 | 3))].into_iter().flatten()
                 {
-                    let cold =
-                        self.caches.get(id).is_some_and(|c| sent >= c.born && self.warming(c).is_some());
+                    let cold = |c: &Cache| sent >= c.born && self.warming(c).is_some();
+                    let cold = self.caches.get(id).is_some_and(cold);
                     if let Some(c) = self.caches.get_mut(id).filter(|_| cold) {
-                        c.cold.add(now, work_ms, o.elapsed_ms);
+                        c.lately.add(now, work_ms, o.elapsed_ms);
                     }
                 }
                 let filled = matches!(o.detail, 2 | 3) || (o.detail == 0 && !shown);
@@ -883,8 +893,7 @@
             }
             let now = self.now;
             if let Some(c) = self.caches.get_mut(&source).filter(|c| c.role != Role::Edge) {
-                c.pace = c.pace_at(now) + PACE_STEP * (pace - c.pace_at(now)).max(0.0);
-                c.paced = now;
+                c.paced(now, pace.max(c.pace_at(now)));
             }
         }
         for id in &silent {
--- a/crates/fernslip/src/state.rs
+++ b/crates/fernslip/src/state.rs
@@ -9,6 +9,11 @@
 /// A machine's pace is forgotten so fast, in milliseconds.
 const PACE_FADES_MS: f64 = 10_000.0;
 
+/// Weight of one answer in a pace: large, as one of many routers sees few fills of each.
+const PACE_STEP: f64 = 0.4;
+/// The same of a slow answer in the pace of the quicker ones: about a fifth of all are quicker than that.
+const PACE_RISE: f64 = 0.2;
+
 #[derive(Clone, Copy, PartialEq, Default)]
 pub enum Role {
     #[default]
@@ -27,8 +32,8 @@
     pub told: f64,
     /// What its link carries, as answers showed while it was warm.
     pub width: Width,
-    /// What this router saw it send while it warms up.
-    pub cold: Delivered,
+    /// What this router saw it send lately, while it warms up.
+    pub lately: Delivered,
     pub born: f64,
     pub tag: u64,
     pub filter: Filter,
@@ -40,6 +45,8 @@
     pub next_trial: f64,
     pub open: Crowd,
     pub pace: f64,
+    /// The pace of its quicker answers.
+    pub quick: f64,
     pub paced: f64,
     /// When it is silent if nothing is heard before; set by the first attempt after the last sign of life.
     pub quiet_by: Option<f64>,
@@ -91,6 +98,19 @@
         1.0 + (self.pace - 1.0) * (-(now - self.paced) / PACE_FADES_MS).exp()
     }
 
+    /// The pace of its quicker answers alone: that of a parent is its own, not that of the origin behind it.
+    pub fn pace_of_quick(&self, now: f64) -> f64 {
+        1.0 + (self.quick - 1.0) * (-(now - self.paced) / PACE_FADES_MS).exp()
+    }
+
+    /// An answer, or one that is still to come, took `pace` times what it takes at full pace.
+    pub fn paced(&mut self, now: f64, pace: f64) {
+        let (mean, quick) = (self.pace_at(now), self.pace_of_quick(now));
+        self.pace = mean + PACE_STEP * (pace - mean);
+        self.quick = quick + (pace - quick) * if pace < quick { PACE_STEP } else { PACE_RISE };
+        self.paced = now;
+    }
+
     /// Nothing was heard of it when something should have been.
     pub fn silent(&self, now: f64) -> bool {
         self.quiet_by.is_some_and(|q| now > q)
--- a/crates/fernslip/tests/failures.rs
+++ b/crates/fernslip/tests/failures.rs
@@ -467,3 +467,47 @@
     let (alone, of_five, of_many) = (again(1), again(5), again(60));
     assert_eq!((alone, of_five, of_many), (20, 4, 1));
 }
+
+/// Seen on a busy day: one parent had crashed and the other crawled; all fills waited there, late, until it was ejected
+/// four seconds on, with an idle origin beside it.
+#[test]
+fn parents_that_crawl_give_way_to_the_origin_and_a_slow_origin_to_parents() {
+    let sources = |parent_ms: &dyn Fn(u64) -> f64, origin_ms: f64| {
+        let mut r = Rig::new();
+        let (mut from_origin, mut all) = (0, 0);
+        for o in 0..400u64 {
+            let Some(s) = sent(&r.ask(10_000 + o)) else { continue };
+            let took = if s.source.starts_with('o') { origin_ms } else { parent_ms(o) };
+            r.now += 30.0;
+            r.end_after(&s, 0, (Ending::Completed, 3), took);
+            (all, from_origin) = (all + 1, from_origin + u32::from(s.source.starts_with('o')));
+        }
+        (from_origin, all)
+    };
+    // Wanted within 600 ms.
+    let (origin, all) = sources(&|_| 1500.0, 150.0);
+    assert!(origin * 2 > all, "{origin} of {all} from a quick origin while parents crawl");
+    let (origin, all) = sources(&|o| if o % 2 == 0 { 110.0 } else { 1500.0 }, 1500.0);
+    assert!(
+        origin * 10 < all,
+        "{origin} of {all} from a slow origin, while parents give at once what they hold"
+    );
+    let (origin, all) = sources(&|_| 110.0, 110.0);
+    assert_eq!(origin, 0, "of {all}, with nothing wrong");
+}
+
+/// A fill that is out for longer than wanted counts while it is out: its client may wait for seconds yet.
+#[test]
+fn a_late_fill_tells_before_it_ends() {
+    let mut r =
+        Rig::with(Settings { classes: vec![Class { deadline_ms: 60_000.0, ..class() }], ..settings() });
+    r.list(fleet().into_iter().map(|e| Entry { weight: 1.0, ..e }).collect());
+    let mut sends = 0;
+    for o in 0..600u64 {
+        r.now += 5.0;
+        sends += u32::from(sent(&r.ask(o)).is_some());
+        r.event(Event::Timer { token: 0 });
+    }
+    // Wanted within 600 ms, 200 a second, nothing comes: some 120 go out before the first is late.
+    assert!((100..250).contains(&sends), "{sends} of 600 sent to sources that give nothing");
+}
