Wait in steps of few lengths: may frees timers that are still referred to past 1,024

Our waits had any length: what is left of a deadline (upstream.rs wait), the tick until the next timer in nanoseconds (lib.rs), the bus's random retries. Ruled out: stacks (mapped, with guard pages), I/O registrations, our own code (no unsafe). Option not taken: another runtime; patching may.

--- a/crates/front/src/bus.rs
+++ b/crates/front/src/bus.rs
@@ -256,7 +256,7 @@
             let odd = self.odd.fetch_add(malformed, Ordering::Relaxed) + malformed;
             tracing::info!(kind = %"bus", %addr, reason = %why.code(), offset, odd, "end");
             if why != Reason::Moved {
-                may::coroutine::sleep(retry_after(self.seed, n));
+                crate::steps::sleep(retry_after(self.seed, n));
             }
         }
     }
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -167,7 +167,7 @@
             match self.socket.recv_from(&mut data) {
                 Ok((n, from)) => self.feed(lanes, Event::Datagram { from, bytes: data[..n].to_vec() }),
                 // An error of one datagram, such as a port that nobody has: the next may be fine.
-                Err(_) => may::coroutine::sleep(AFTER_ERROR),
+                Err(_) => crate::steps::sleep(AFTER_ERROR),
             }
         }
     }
@@ -192,7 +192,7 @@
             if due <= self.clock.now() {
                 self.feed(lanes, Event::Tick);
             }
-            may::coroutine::sleep(LOOK);
+            crate::steps::sleep(LOOK);
         }
     }
 
--- a/crates/front/src/lanes.rs
+++ b/crates/front/src/lanes.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::link::lock;
 use crate::plan::{Answers, Known, Plan};
+use crate::steps;
 use crate::upstream::Upstream;
 use crate::Ways;
 use arc_swap::ArcSwap;
@@ -167,7 +168,7 @@
             if let Some(admitted) = admitted {
                 return admitted.then_some(place);
             }
-            let _ = seat.blocker.park(Some(LOOK));
+            steps::park(&seat.blocker, LOOK);
         }
     }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod resp;
 pub mod server;
 mod spawn;
+mod steps;
 pub mod upstream;
 
 use bus::Bus;
@@ -358,9 +359,7 @@
     let f = front.clone();
     spawn(move || loop {
         let next = f.lanes.all().iter().filter_map(|l| l.tick(&f.clock)).reduce(f64::min);
-        may::coroutine::sleep(
-            next.map_or(TICK, |at| f.clock.until(at).clamp(Duration::from_millis(1), TICK)),
-        );
+        steps::sleep(next.map_or(TICK, |at| f.clock.until(at).clamp(Duration::from_millis(1), TICK)));
     });
     let housekeeper = may::go!(move || {
         // A handed socket is served by the process that replaces this one: nothing more is taken here.
@@ -396,7 +395,7 @@
     let mut left: Option<Instant> = None;
     let (mut lost, mut odd) = (0, 0);
     loop {
-        may::coroutine::sleep(SWEEP);
+        steps::sleep(SWEEP);
         let dropped = log::dropped();
         if dropped > lost {
             tracing::warn!(dropped = dropped - lost, total = dropped, "log");
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -321,7 +321,7 @@
                     spawn(move || front.server.serve(&front, number, &client, stream, peer));
                 }
                 // Out of descriptors, or a client that left at once: the next may be fine.
-                Err(_) => may::coroutine::sleep(Duration::from_millis(5)),
+                Err(_) => crate::steps::sleep(Duration::from_millis(5)),
             }
         }
     }
--- /dev/null
+++ b/crates/front/src/steps.rs
@@ -0,0 +1,69 @@
+//! Waits of a coroutine, in few lengths.
+//!
+//! May keeps a list of timers for each length of a wait that it was ever asked for. Past 1,024 of them it frees a list as
+//! soon as that runs empty, and with it the timer that ended last, which the coroutine that it woke still refers to
+//! (may 0.3.51, `timeout_list.rs`; may_queue 0.1.24, `Drop` of `mpsc_list_v1::Queue`): memory that was freed is read and
+//! written, and the process ends sooner or later. A wait of any length is therefore made of steps of few lengths.
+
+use may::sync::Blocker;
+use std::time::{Duration, Instant};
+
+/// The longest step that is taken at once, and up to which steps are whole milliseconds.
+const FINE_MS: u64 = 16;
+
+/// A wait that goes on for `left` at the most and a millisecond: one of few lengths. Whole milliseconds, as may cuts a wait
+/// to them and takes 0 for 'for ever'; above 16 of them the leading four bits alone.
+fn step(left: Duration) -> Duration {
+    let ms = left.as_micros().div_ceil(1000).clamp(1, 1 << 31) as u64;
+    let cut = if ms <= FINE_MS { 0 } else { 60 - ms.leading_zeros() };
+    Duration::from_millis(ms >> cut << cut)
+}
+
+/// Waits to be woken, for a part of `left`: who calls it looks whether it is over and calls again.
+pub fn park(blocker: &Blocker, left: Duration) {
+    let _ = blocker.park(Some(step(left)));
+}
+
+/// Waits for that long.
+pub fn sleep(long: Duration) {
+    let until = Instant::now() + long;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return;
+        }
+        #[expect(clippy::disallowed_methods, reason = "the one place that knows of its lengths")]
+        may::coroutine::sleep(step(left));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    /// Waits of attempts alone came to thousands of lengths: a front's heap was corrupted after a minute.
+    #[test]
+    fn all_waits_up_to_an_hour_have_few_lengths() {
+        let lengths: BTreeSet<Duration> =
+            (1..3_600_000).map(|us| step(Duration::from_micros(us * 1_000 - us % 997))).collect();
+        assert!(lengths.len() < 200, "{} lengths; may stands 1,024", lengths.len());
+    }
+
+    #[test]
+    fn a_step_is_no_longer_than_what_is_left_and_most_of_it() {
+        for us in (1..60_000_000u64).step_by(1_237) {
+            let (left, step) = (Duration::from_micros(us), step(Duration::from_micros(us)));
+            assert!(step >= Duration::from_millis(1) && step < left + Duration::from_millis(1));
+            assert!(step * 9 > left * 8, "{left:?} in steps of {step:?}");
+        }
+    }
+
+    #[test]
+    fn a_sleep_of_any_length_ends_in_its_time() {
+        let began = Instant::now();
+        let slept = may::go!(|| [1_u64, 17, 333, 2_500, 41_700].map(|us| sleep(Duration::from_micros(us))));
+        assert!(slept.join().is_ok());
+        assert!(began.elapsed() >= Duration::from_micros(44_551));
+    }
+}
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -5,6 +5,7 @@
 use crate::log::Reason;
 use crate::resp;
 use crate::spawn::spawn;
+use crate::steps;
 use fernslip::facade::{Attempt, Waiter};
 use fernslip::json::HOLDS;
 use fernslip::{CacheId, Ending, RequestId};
@@ -113,12 +114,6 @@
     }
 }
 
-/// Rounds up to whole milliseconds. May cuts a wait to whole milliseconds and takes 0 for 'for ever': the rest
-/// of a wait that ended a little early would never end, and its request would get no answer.
-fn whole_ms(d: Duration) -> Duration {
-    Duration::from_millis(d.as_micros().div_ceil(1000).max(1) as u64)
-}
-
 /// Where the coroutine of an attempt waits for its end.
 struct Slot {
     blocker: Arc<Blocker>,
@@ -377,7 +372,7 @@
             } else if left.is_zero() {
                 conn.give_up(a.id, trace, Ending::Overdue);
             } else {
-                let _ = slot.blocker.park(Some(whole_ms(left)));
+                steps::park(&slot.blocker, left);
                 continue;
             }
         }
@@ -563,8 +558,6 @@
 
     #[test]
     fn a_wait_shorter_than_a_millisecond_ends() {
-        assert_eq!(whole_ms(Duration::from_micros(1)), Duration::from_millis(1));
-        assert_eq!(whole_ms(Duration::from_micros(7001)), Duration::from_millis(8));
         let limits = Limits {
             streams: 1,
             connect_timeout: Duration::from_millis(400),
