--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -11,7 +11,7 @@
 use crate::place::{mix, score, word};
 use crate::share::Gate;
 use crate::state::{Attempt, Cache, Plan, Req, Role, Way};
-use crate::width::Delivered;
+use crate::width::{Answer, Delivered, Width};
 use std::collections::{BTreeMap, BTreeSet};
 
 // The design's own figures. Counters: some 16 for each key that a cache sees in a generation at 100/s.
@@ -227,11 +227,11 @@
                 c.filter.clear();
                 c.changes.clear();
                 (c.bad, c.said, c.ejected, c.quiet_by, c.pace, c.quick) = (0.0, 0.0, false, None, 1.0, 1.0);
-                c.lately = Delivered::default();
+                c.link.lately = Delivered::default();
             }
             (c.role, c.zone, c.cell, c.phase) = (role, e.zone, e.cell, e.phase);
             c.told = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
-            c.width.guess(c.told);
+            c.link.guess(c.told);
         }
         // Caches that keep anything send more than their link brings in; a parent feeds a location or more.
         let links = self.set.link_in_kb_per_s.iter().map(|kb| kb / self.set.stream_kb_per_s);
@@ -420,7 +420,7 @@
         // the links.
         let aim = req.aim_ms.min(left);
         let alone = |c: &Cache| if self.quickness(c) < 1.0 { c.pace_at(self.now) } else { 1.0 };
-        let load = |c: &Cache| if c.width.full { self.load(c) * LATE_MARGIN } else { 0.0 };
+        let load = |c: &Cache| if c.link.width.full { self.load(c) * LATE_MARGIN } else { 0.0 };
         let in_time = |c: &Cache| req.work_ms * load(c).max(alone(c)) <= aim;
         let eased = |c: &Cache| self.is_slow(first) || self.load(c) < SPILL_GAIN * self.load(first);
         let spill = fits[1..].iter().find(|f| in_time(f.1) && eased(f.1));
@@ -499,6 +499,11 @@
         }
     }
 
+    /// Whether what went through a cache took no longer than its hits do: its own link is the crowded one.
+    fn is_busy(&self, c: &Cache, pace: f64) -> bool {
+        c.pace_at(self.now) > SLOW && pace < SLOW * c.pace_at(self.now)
+    }
+
     fn is_slow(&self, c: &Cache) -> bool {
         self.quickness(c) < SLOW_PART
     }
@@ -509,17 +514,19 @@
     }
 
     /// What it carries when warm: as it showed, else as its fellows did, else as told links let expect.
-    fn width(&self, c: &Cache) -> f64 {
+    fn width(&self, c: &Cache, shown: Width) -> f64 {
         let role = c.role as usize;
-        match c.width.full {
-            true => c.width.carries,
-            false => c.width.carries.max(self.typical[role]).max(self.first[role]).max(1.0),
+        let least = shown.carries.max(1.0);
+        if shown.full {
+            least
+        } else {
+            least.max(self.typical[role]).max(self.first[role])
         }
     }
 
     /// What it carries now. One that warms up carries at least what the rules tell, and what it has shown.
     fn carries(&self, c: &Cache) -> f64 {
-        (self.width(c) * self.warmth(c)).max(c.lately.rate(self.now) * self.sharers(c))
+        (self.width(c, c.link.width) * self.warmth(c)).max(c.link.lately.rate(self.now) * self.sharers(c))
     }
 
     /// How many routers may send to it or fill from it.
@@ -541,13 +548,14 @@
 
     /// Takes in what an answer shows of a link: a cache's by its hits, a source's by the fills from it.
     fn measure(&mut self, id: &CacheId, work_ms: f64, took_ms: f64, base_ms: f64, seen: f64) {
-        let open = (self.seen(id) - seen) / took_ms.max(1.0);
+        let (now, open) = (self.now, (self.seen(id) - seen) / took_ms.max(1.0));
+        let routers = self.caches.get(id).map_or(1.0, |c| self.sharers(c));
         let cold = self.caches.get(id).is_none_or(|c| self.warming(c).is_some());
         let Some(c) = self.caches.get_mut(id).filter(|_| !cold) else { return };
-        c.width.answered(work_ms, took_ms, base_ms, open);
+        c.link.answered(now, Answer { work_ms, took_ms, base_ms, open }, routers);
         let role = c.role;
-        let like = self.caches.values().filter(|c| c.role == role && c.width.carries > 0.0);
-        let (n, sum) = like.fold((0.0, 0.0), |(n, sum), c| (n + 1.0, sum + c.width.carries));
+        let like = self.caches.values().filter(|c| c.role == role && c.link.proven.carries > 0.0);
+        let (n, sum) = like.fold((0.0, 0.0), |(n, sum), c| (n + 1.0, sum + c.link.proven.carries));
         self.typical[role as usize] = if n > 0.0 { sum / n } else { 0.0 };
     }
 
@@ -560,7 +568,12 @@
             _ => (self.set.cold_from, self.set.cold_ms, self.set.cold_multiple),
         };
         let cold = c.born > 0.0 && c.role != Role::Origin && self.now - c.born < ms;
-        cold.then_some(Warming { from, ms, multiple, rate: multiple * self.width(c) * COLD_USE })
+        cold.then_some(Warming {
+            from,
+            ms,
+            multiple,
+            rate: multiple * self.width(c, c.link.proven) * COLD_USE,
+        })
     }
 
     fn warmth(&self, c: &Cache) -> f64 {
@@ -582,8 +595,8 @@
         let part = warming.rate * warming.warmth(age) * window / f64::from(routers);
         // What a router saw it send lately it can send now, and may be asked for within the same multiple.
         // One of several goes by that only where it knows no width: two ways at once would add up.
-        let blind = routers == 1 || !c.width.full && self.typical[c.role as usize] == 0.0;
-        let shown = if blind { c.lately.rate(self.now) } else { 0.0 };
+        let blind = routers == 1 || !c.link.width.full && self.typical[c.role as usize] == 0.0;
+        let shown = if blind { c.link.lately.rate(self.now) } else { 0.0 };
         let part = part.max(warming.multiple * COLD_USE * shown * window);
         let cost = self.mean_ms[req.ask.class];
         let turn = self.mean_ms.iter().copied().fold(cost, f64::max);
@@ -656,16 +669,19 @@
         let in_time = o.elapsed_ms <= req.aim_ms;
         let (now, routers) = (self.now, f64::from(self.zone_routers()));
         let source = a.source.clone();
-        // A fill through a cache that crawls says nothing of its source, nor of the links.
+        // A fill through a cache that crawls, or that sends what it holds as late, says nothing of its source, nor
+        // of the links.
         let crawls = self.caches.get(&cache).is_some_and(|c| self.is_slow(c));
+        let fill_pace = o.elapsed_ms / (req.work_ms + PACE_BASE_MS);
+        let busy = self.caches.get(&cache).is_some_and(|c| self.is_busy(c, fill_pace));
         self.testify(&cache, Sign::Crawling, if crawls { SILENCE_SURE } else { 0.0 }, out);
-        let slow = crawls || self.caches.get(&source).is_some_and(|c| self.is_slow(c));
-        let hit = o.detail == 1 && o.ending == Ending::Completed;
+        let slow = crawls || busy || self.caches.get(&source).is_some_and(|c| self.is_slow(c));
+        let hit = o.ending == Ending::Completed && (o.detail == 1 || o.detail == 0 && way == Way::Hit);
         if hit || way == Way::Fill && matches!(o.ending, Ending::Completed | Ending::Overdue) {
             let (id, base) = if hit { (&cache, HIT_BASE_MS) } else { (&source, PACE_BASE_MS) };
             let took = o.elapsed_ms / (req.work_ms + base);
             let edge = |c: &Cache| c.role == Role::Edge;
-            if let Some(c) = self.caches.get_mut(id).filter(|c| hit == edge(c) && (hit || !crawls)) {
+            if let Some(c) = self.caches.get_mut(id).filter(|c| hit == edge(c) && (hit || !crawls && !busy)) {
                 c.paced(now, took);
                 let seen = seen[usize::from(!hit)];
                 self.measure(&id.clone(), req.work_ms, o.elapsed_ms, base, seen);
@@ -725,10 +741,8 @@
                 for id in
                     [Some(cache), Some(source).filter(|_| matches!(o.detail, 2 | 3))].into_iter().flatten()
                 {
-                    let cold = |c: &Cache| sent >= c.born && self.warming(c).is_some();
-                    let cold = self.caches.get(id).is_some_and(cold);
-                    if let Some(c) = self.caches.get_mut(id).filter(|_| cold) {
-                        c.lately.add(now, work_ms, o.elapsed_ms);
+                    if let Some(c) = self.caches.get_mut(id).filter(|c| sent >= c.born) {
+                        c.link.lately.add(now, work_ms, o.elapsed_ms);
                     }
                 }
                 let filled = matches!(o.detail, 2 | 3) || (o.detail == 0 && !shown);
@@ -885,7 +899,7 @@
         // A fill that is late already tells now what its end would tell when the client has left.
         for (cache, source, pace) in late {
             let slow = |id: &CacheId| self.caches.get(id).is_some_and(|c| self.is_slow(c));
-            if slow(&cache) {
+            if slow(&cache) || self.caches.get(&cache).is_some_and(|c| self.is_busy(c, pace)) {
                 continue;
             }
             if !slow(&source) {
--- a/crates/fernslip/src/state.rs
+++ b/crates/fernslip/src/state.rs
@@ -3,7 +3,7 @@
 use crate::api::*;
 use crate::filter::{Change, Filter, Hashes};
 use crate::share::Crowd;
-use crate::width::{Delivered, Width};
+use crate::width::Link;
 use std::collections::{BTreeSet, VecDeque};
 
 /// A machine's pace is forgotten so fast, in milliseconds.
@@ -30,10 +30,8 @@
     pub phase: Phase,
     /// As listed.
     pub told: f64,
-    /// What its link carries, as answers showed while it was warm.
-    pub width: Width,
-    /// What this router saw it send lately, while it warms up.
-    pub lately: Delivered,
+    /// What its link carries, as answers showed.
+    pub link: Link,
     pub born: f64,
     pub tag: u64,
     pub filter: Filter,
--- a/crates/fernslip/src/width.rs
+++ b/crates/fernslip/src/width.rs
@@ -79,6 +79,48 @@
     }
 }
 
+/// A machine's link, as its answers show it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Link {
+    /// What it carries of all that is under way there. Transfers that wait for their source count too, so that it is
+    /// what the load there is to be compared with.
+    pub width: Width,
+    /// What it was seen to send, counted by what came whole: what a cold machine's budget may go by.
+    pub proven: Width,
+    /// What this router saw it send lately.
+    pub lately: Delivered,
+}
+
+impl Link {
+    /// Begins with what a list tells.
+    pub fn guess(&mut self, told: f64) {
+        self.width.guess(told);
+        self.proven.guess(told);
+    }
+
+    /// Takes an answer in as [`Width::answered`] does; `routers` send to it, each taken to see as much as this one.
+    pub fn answered(&mut self, now: f64, answer: Answer, routers: f64) {
+        let Answer { work_ms, took_ms, base_ms, open } = answer;
+        self.width.answered(work_ms, took_ms, base_ms, open);
+        let stretch = ((took_ms - base_ms) / work_ms).max(1.0);
+        let sent = self.lately.rate(now) * routers * stretch;
+        self.proven.answered(work_ms, took_ms, base_ms, open.min(sent));
+    }
+}
+
+/// An answer, as [`Width::answered`] takes it.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    /// Its sending time, in milliseconds.
+    pub work_ms: f64,
+    /// What it took in all, in milliseconds.
+    pub took_ms: f64,
+    /// What any answer takes besides its sending, in milliseconds.
+    pub base_ms: f64,
+    /// How many were under way on average.
+    pub open: f64,
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/fernslip/tests/deployments.rs
@@ -0,0 +1,101 @@
+//! Deployments that nobody has yet: settings drawn by seed over wider ranges than any is told to have, in a small world of
+//! caches with shared links. On each the rules hold, a calm day is served, and an overload is served to its capacity.
+//!
+//!     cargo test -p fernslip --test deployments --release -- --ignored --nocapture    # a thousand draws
+mod common;
+#[path = "common/world.rs"]
+mod world;
+
+use common::*;
+use fernslip::*;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use world::{Day, Deployment, Kind, World};
+
+const DAY_MS: f64 = 8_000.0;
+/// Of the draws that CI plays, how many miss a figure today: fewer is better, more is a step back.
+const MISSED: usize = 13;
+
+/// What is wrong with a deployment's days; empty: nothing.
+fn faults(seed: u64) -> Vec<String> {
+    let d = Deployment::draw(seed);
+    let mut wrong = Vec::new();
+    let mut broken =
+        |name: &str, day: &Day| wrong.extend(day.broken.iter().take(3).map(|b| format!("{name}: {b}")));
+    let calm = World::new(&d).play(0.6, DAY_MS, Kind::Calm);
+    broken("calm", &calm);
+    let crowd = World::new(&d).play(1.5, DAY_MS, Kind::Calm);
+    broken("overload", &crowd);
+    let trouble = World::new(&d).play(0.6, DAY_MS, Kind::Trouble);
+    broken("trouble", &trouble);
+    let lost = f64::from(calm.refused + calm.failed) / f64::from(calm.asked.max(1));
+    if lost > 0.01 {
+        wrong.push(format!("calm: {:.1} % refused", lost * 100.0));
+        wrong.extend(calm.log.iter().filter(|l| l.contains("gave up")).rev().take(2).cloned());
+    }
+    let mean = calm.used.iter().sum::<f64>() / calm.used.len() as f64;
+    if let Some(c) = calm.used.iter().position(|u| *u < mean / 10.0) {
+        wrong
+            .push(format!("calm: cache {c} is idle: {:.2} of its link, the mean is {mean:.2}", calm.used[c]));
+    }
+    let carried = crowd.served_ms / DAY_MS / d.widths.iter().sum::<f64>();
+    if carried < 0.8 {
+        let used = crowd.used.iter().sum::<f64>() / crowd.used.len() as f64;
+        let (refused, failed) = (crowd.refused, crowd.failed);
+        wrong.push(format!(
+            "overload: {carried:.2} of what its links carry, {used:.2} used; of {} {refused} refused, {failed} failed",
+            crowd.asked
+        ));
+        wrong.extend(crowd.log.iter().filter(|l| l.contains("gave up")).rev().take(2).cloned());
+    }
+    if !wrong.is_empty() {
+        wrong.push(d.to_string());
+    }
+    wrong
+}
+
+/// Plays so many deployments on all cores; the seeds that fail, with what is wrong.
+fn play(seeds: std::ops::Range<u64>) -> Vec<(u64, Vec<String>)> {
+    let (next, failed) = (AtomicU64::new(seeds.start), Mutex::new(Vec::new()));
+    let threads = std::thread::available_parallelism().map_or(4, |n| n.get());
+    std::thread::scope(|s| {
+        for _ in 0..threads {
+            s.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= seeds.end {
+                    return;
+                }
+                let wrong = faults(seed);
+                if !wrong.is_empty() {
+                    failed.lock().unwrap_or_else(|e| e.into_inner()).push((seed, wrong));
+                }
+            });
+        }
+    });
+    let mut failed = failed.into_inner().unwrap_or_else(|e| e.into_inner());
+    failed.sort_by_key(|f| f.0);
+    failed
+}
+
+#[test]
+#[ignore = "many draws: run it in release"]
+fn a_thousand_deployments() {
+    let count = std::env::var("DRAWS").ok().and_then(|n| n.parse().ok()).unwrap_or(1_000);
+    let failed = play(1_000..1_000 + count);
+    for (seed, wrong) in &failed {
+        println!("seed {seed}: {wrong:#?}");
+    }
+    println!("{{\"draws\": {count}, \"failed\": {}}}", failed.len());
+    assert!(failed.is_empty(), "{} of {count} draws fail", failed.len());
+}
+
+/// What a figure missed is a weakness that is known and counted; a broken rule is none.
+#[test]
+fn three_dozen_deployments() {
+    let failed = play(0..36);
+    let rules = |w: &&String| w.contains(" ms: ") || w.contains("pushed over");
+    let broken: Vec<_> = failed.iter().filter(|f| f.1.iter().any(|w| rules(&w))).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+    // Before capacity was learned 20 of these missed a figure.
+    assert!(failed.len() <= MISSED, "{} of 36 draws miss a figure: {failed:#?}", failed.len());
+}
