--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -669,7 +669,7 @@
         let in_time = o.elapsed_ms <= req.aim_ms;
         let (now, routers) = (self.now, f64::from(self.zone_routers()));
         let source = a.source.clone();
-        // A fill through a cache that crawls, or is itself crowded, says nothing of its source, nor of the links.
+        // A fill through a cache that crawls or is itself crowded tells nothing of its source or the links.
         let crawls = self.caches.get(&cache).is_some_and(|c| self.is_slow(c));
         let fill_pace = o.elapsed_ms / (req.work_ms + PACE_BASE_MS);
         let busy = self.caches.get(&cache).is_some_and(|c| self.is_busy(c, fill_pace));
