Attempts that impatient clients end tell nothing of sources, links or limits

Each counted as a late fill (outcome, crowded), as a failure of its source (learn) and as a pace: the limit on fills fell from none to 5, half of all was refused, a parent was ejected. Ruled out: one box, one source, hits (0.19 s a MB throughout). Change: out of time before the wanted time is no evidence. Option not taken: a floor on patience.

--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -675,8 +675,10 @@
         let busy = self.caches.get(&cache).is_some_and(|c| self.is_busy(c, fill_pace));
         self.testify(&cache, Sign::Crawling, if crawls { SILENCE_SURE } else { 0.0 }, out);
         let slow = crawls || busy || self.caches.get(&source).is_some_and(|c| self.is_slow(c));
+        // Out of time before it was wanted, its client had no patience: that tells nothing of anybody.
+        let overdue = o.ending == Ending::Overdue && !in_time;
         let hit = o.ending == Ending::Completed && (o.detail == 1 || o.detail == 0 && way == Way::Hit);
-        if hit || way == Way::Fill && matches!(o.ending, Ending::Completed | Ending::Overdue) {
+        if hit || way == Way::Fill && (o.ending == Ending::Completed || overdue) {
             let (id, base) = if hit { (&cache, HIT_BASE_MS) } else { (&source, PACE_BASE_MS) };
             let took = o.elapsed_ms / (req.work_ms + base);
             let edge = |c: &Cache| c.role == Role::Edge;
@@ -691,7 +693,7 @@
             Ending::Completed => !in_time,
             // A break or an error is the cache's or one connection's: it tells nothing of links and sources.
             Ending::Saturated => o.elapsed_ms >= UNSEEN_MS,
-            o => o == Ending::Overdue,
+            _ => overdue,
         };
         if way == Way::Fill {
             self.fills.ended(now, routers, crowded && !late, o.ending == Ending::Completed && !crowded);
@@ -773,6 +775,7 @@
                 let (c, s) = match (o.ending, o.detail) {
                     (Ending::Saturated, 0) if o.elapsed_ms < UNSEEN_MS => (1.0, 0.0),
                     (_, 8..=10) | (Ending::Saturated, 0) => (0.0, 0.0),
+                    _ if late && o.elapsed_ms <= req.aim_ms => (0.0, 0.0),
                     _ if late && !quiet(cache) && (shown || crawls || !quiet(source)) => (0.0, 0.0),
                     _ if late && !quiet(cache) => (0.0, 1.0),
                     (_, 6 | 7) => (0.0, 1.0),
--- a/crates/fernslip/tests/failures.rs
+++ b/crates/fernslip/tests/failures.rs
@@ -336,7 +336,8 @@
             let s = sent(&r.ask(1000 + n)).expect("sent");
             r.now += 20.0;
             let lost = late > 0 && n % late == late - 1;
-            let again = r.end(&s, 0, if lost { Ending::Overdue } else { Ending::Completed }, 2);
+            let (ending, took) = if lost { (Ending::Overdue, 1500.0) } else { (Ending::Completed, 50.0) };
+            let again = r.end_after(&s, 0, (ending, 2), took);
             if let Some(again) = sent(&again) {
                 r.end(&again, 1, Ending::Completed, 2);
             }
@@ -511,3 +512,29 @@
     // Wanted within 600 ms, 200 a second, nothing comes: some 120 go out before the first is late.
     assert!((100..250).contains(&sends), "{sends} of 600 sent to sources that give nothing");
 }
+
+/// Seen on a day of impatient clients: their attempts, out of time within a tenth of what was wanted, counted as late fills;
+/// the limit on fills fell to 5 and a parent was ejected, with nothing wrong.
+#[test]
+fn clients_without_patience_tell_nothing_of_sources_and_links() {
+    let mut r = Rig::with(settings());
+    r.list(fleet().into_iter().map(|e| Entry { weight: 1.0, ..e }).collect());
+    let room = |r: &mut Rig, base: u64| {
+        let open: Vec<Sent> = (0..30).filter_map(|o| sent(&r.ask(base + o))).collect();
+        r.now += 150.0;
+        open.iter().for_each(|s| drop(r.end_after(s, 0, (Ending::Completed, 3), 150.0)));
+        open.len()
+    };
+    let before = room(&mut r, 10_000);
+    for o in 0..300 {
+        let s = sent(&r.ask(20_000 + o)).expect("sent");
+        r.now += 40.0;
+        if let Some(again) = sent(&r.end_after(&s, 0, (Ending::Overdue, 0), 40.0)) {
+            r.end_after(&again, 1, (Ending::Completed, 3), 100.0);
+        }
+    }
+    assert_eq!(room(&mut r, 30_000), before);
+    let sources: std::collections::BTreeSet<String> =
+        (0..60).filter_map(|o| sent(&r.ask(40_000 + o))).map(|s| s.source).collect();
+    assert!(sources.contains("p1:1") && sources.contains("p2:1"), "{sources:?}");
+}
