--- /dev/null
+++ b/crates/store/tests/disks.rs
@@ -0,0 +1,206 @@
+//! The store over disks that lose power, tear, lie, fill up, fail to sync, flip bits and go back in time.
+
+use fernslip_store::layers::{Avoided, Position, Purge, Purged};
+use fernslip_store::lying::{Faults, Platter};
+use fernslip_store::{Change, Marks, Store, StoreError, Trust};
+use proptest::prelude::*;
+
+/// What is on the disk after `n` commits of [`put`]: offset `n`, and purges of the objects below it.
+fn put(store: &mut Store, n: u64) -> Result<Marks, StoreError> {
+    let position = Position { epoch: 5, offset: n, at_unix_ms: 1000 * n };
+    store.commit(&[
+        Change::put(&(), &position)?,
+        Change::put(&Purged::Object(n), &Purge { at_unix_ms: 1000 * n })?,
+        Change::remove::<Purge>(&Purged::Object(n.wrapping_sub(3)))?,
+    ])
+}
+
+/// The last commit that is there; panics where it is there in part.
+fn holds(store: &Store) -> Result<u64, StoreError> {
+    let at = store.get::<Position>(&())?.map_or(0, |p| p.offset);
+    let (purges, damaged) = store.all::<Purge>()?;
+    if damaged > 0 {
+        return Err(StoreError::Damaged("purge", "some"));
+    }
+    let keys: Vec<u64> = purges
+        .iter()
+        .map(|(k, v)| match k {
+            Purged::Object(n) if v.at_unix_ms == 1000 * n => *n,
+            other => panic!("{other:?} {v:?}"),
+        })
+        .collect();
+    let due: Vec<u64> = (1..=at).filter(|n| n + 3 > at).collect();
+    assert_eq!(keys, due, "a commit that is there in part");
+    Ok(at)
+}
+
+fn play(platter: &Platter, from: u64, most: u64) -> (u64, Option<Marks>) {
+    let (mut done, mut told) = (from, None);
+    if let Ok((mut store, _)) = Store::open(platter.disk(), 9) {
+        told = Some(store.marks());
+        for n in from + 1..=most {
+            match put(&mut store, n) {
+                Ok(marks) => (done, told) = (n, Some(marks)),
+                Err(_) => {
+                    assert!(matches!(put(&mut store, n), Err(StoreError::Failed)), "after a failure nothing");
+                    break;
+                }
+            }
+        }
+    }
+    (done, told)
+}
+
+#[test]
+fn power_lost_at_every_operation_leaves_a_commit_whole_or_not_at_all() {
+    let whole = Platter::new(0);
+    play(&whole, 0, 6);
+    let operations = whole.ops();
+    assert!(operations > 30, "{operations}");
+    for at in 0..operations {
+        let platter = Platter::new(at);
+        platter.faults(Faults { dies_at: Some(at), ..Faults::default() });
+        let (done, told) = play(&platter, 0, 6);
+        platter.power_loss();
+        let (store, found) = match Store::open(platter.disk(), 9) {
+            Ok(opened) => opened,
+            // The disk was being made: nothing was ever called durable.
+            Err(e) if told.is_none() => {
+                let _: StoreError = e;
+                continue;
+            }
+            Err(e) => panic!("lost power at {at} with {done} done: {e}"),
+        };
+        let there = holds(&store).expect("sound");
+        assert!(there == done || there == done + 1, "lost power at {at}: {there} of {done}");
+        // What others were told is there: the disk is believed.
+        if let Some(told) = told {
+            assert_eq!(Marks::trust(found, Some(told)), Trust::Current, "at {at}");
+        }
+    }
+}
+
+#[test]
+fn a_disk_that_lies_or_is_from_an_hour_ago_is_found_by_what_others_remember() {
+    let (mut behind, mut broken) = (0, 0);
+    for seed in 0..60 {
+        let platter = Platter::new(seed);
+        let (_, _) = play(&platter, 0, 3);
+        let old = platter.copy();
+        platter.faults(Faults { lies: true, ..Faults::default() });
+        let (done, told) = play(&platter, 3, 9);
+        let told = told.expect("opened");
+        if seed % 2 == 0 {
+            platter.power_loss();
+        } else {
+            platter.restore(old);
+        }
+        match Store::open(platter.disk(), 77) {
+            Ok((store, found)) => match Marks::trust(found, Some(told)) {
+                Trust::Current => assert_eq!(holds(&store).expect("sound"), done, "seed {seed}"),
+                Trust::Behind { by } => {
+                    assert!(by > 0);
+                    behind += 1;
+                }
+                other => panic!("{other:?}"),
+            },
+            Err(_) => broken += 1,
+        }
+    }
+    assert!(behind >= 30, "{behind} behind, {broken} broken: restored copies open, and are not believed");
+}
+
+#[test]
+fn a_full_disk_or_a_sync_that_fails_ends_what_is_called_durable() {
+    for faults in [
+        Faults { full_at: Some(0), ..Faults::default() },
+        Faults { fails_sync: Some(0), ..Faults::default() },
+        Faults { fails_sync: Some(1), ..Faults::default() },
+    ] {
+        let platter = Platter::new(3);
+        let (mut store, _) = Store::open(platter.disk(), 9).expect("a sound disk");
+        put(&mut store, 1).expect("a sound disk");
+        platter.faults(faults.clone());
+        let all: Vec<_> = (2..400).map_while(|n| put(&mut store, n).ok()).collect();
+        assert!(all.len() < 398, "{faults:?}");
+        assert!(store.has_failed(), "{faults:?}");
+        let done = 1 + all.len() as u64;
+        drop(store);
+        platter.power_loss();
+        let (store, _) = Store::open(platter.disk(), 9).expect("what was durable");
+        let there = holds(&store).expect("sound");
+        assert!(there == done || there == done + 1, "{there} of {done}");
+    }
+}
+
+#[test]
+fn what_a_later_program_wrote_is_refused_by_number_and_stays() {
+    use fernslip_store::layers::Layer;
+    #[derive(serde::Serialize, serde::Deserialize)]
+    struct Newer(String);
+    impl Layer for Newer {
+        const NAME: &'static str = <Avoided as Layer>::NAME;
+        const VERSION: u16 = 3;
+        type Key = String;
+    }
+    let platter = Platter::new(3);
+    let (mut store, _) = Store::open(platter.disk(), 9).expect("a sound disk");
+    let change = Change::put(&"box-1".to_string(), &Newer("later".into())).expect("short");
+    store.commit(&[change]).expect("a sound disk");
+    assert!(matches!(store.get::<Avoided>(&"box-1".into()), Err(StoreError::Later("avoided", 3))));
+    assert!(matches!(store.all::<Avoided>(), Err(StoreError::Later("avoided", 3))));
+    put(&mut store, 1).expect("other layers go on");
+    assert_eq!(store.get::<Newer>(&"box-1".into()).expect("sound").map(|n| n.0).as_deref(), Some("later"));
+}
+
+#[test]
+fn a_file_is_held_by_one_program_and_kept_for_the_next() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("front.store");
+    let open = || {
+        redb::backends::FileBackend::new(
+            std::fs::OpenOptions::new()
+                .read(true)
+                .write(true)
+                .create(true)
+                .truncate(false)
+                .open(&file)
+                .expect("a file"),
+        )
+    };
+    let (mut store, _) = Store::open(open().expect("free"), 4).expect("opened");
+    put(&mut store, 1).expect("written");
+    assert!(open().is_err(), "two programs on one disk");
+    let told = store.marks();
+    drop(store);
+    let (store, found) = Store::open(open().expect("free"), 5).expect("opened");
+    assert_eq!((found, store.marks().boots), (Some(told), told.boots + 1));
+    assert_eq!(holds(&store).expect("sound"), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 96, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Damage is found, or it hit what nobody reads: a wrong value is never handed out, and nothing panics.
+    #[test]
+    fn flipped_bits_never_become_knowledge(seed in any::<u64>(), bits in 1usize..400, commits in 1u64..8) {
+        let platter = Platter::new(seed);
+        let (done, _) = play(&platter, 0, commits);
+        prop_assert_eq!(done, commits);
+        platter.flip(bits);
+        if let Ok((store, _)) = Store::open(platter.disk(), 1) {
+            if let Ok(there) = holds(&store) {
+                prop_assert_eq!(there, done);
+            }
+        }
+    }
+
+    #[test]
+    fn any_bytes_are_no_store_and_no_panic(bytes in proptest::collection::vec(any::<u8>(), 0..6000)) {
+        let platter = Platter::new(1);
+        platter.restore(bytes);
+        if let Ok((store, _)) = Store::open(platter.disk(), 1) {
+            prop_assert_eq!(holds(&store).unwrap_or(0), 0);
+        }
+    }
+}
