Mates tell one that starts what they learned; fills that sources turn away are held back

Fronts restarted less than 10 s ago gave up 4,918 fills for want of room, as many as all others: they know no key, so each hit counts as a fill (policy.rs choose, the gate). Change: a greeting is answered with the fill limit, widths, paces and failures of the location's machines (one message, version 3, which the program before drops), and one mate, the next by number, sends the keys that boxes hold as ordinary changes. Each router counts what sources take and turn away; past 1.5 times what they take, fills are refused at once, and a hit whose copy may be past its fresh time asks for that copy without a fill. Sibling fills go on.

--- a/crates/fernslip/src/cold.rs
+++ b/crates/fernslip/src/cold.rs
@@ -4,6 +4,17 @@
 //! a moment. The sum is cut into turns of one request each; turn number `j` is router `j % routers`'s. A router's part
 //! may thus be far less than one request in the time over which the machine's limit is watched, and is not rounded up.
 
+impl crate::api::Settings {
+    /// How a parent, or another machine, warms up: its share at the start, the time in milliseconds, the multiple.
+    pub(crate) fn cold(&self, parent: bool) -> [f64; 3] {
+        if parent {
+            [self.parent_cold_from, self.parent_cold_ms, self.parent_cold_multiple]
+        } else {
+            [self.cold_from, self.cold_ms, self.cold_multiple]
+        }
+    }
+}
+
 /// A machine that warms evenly.
 #[derive(Clone, Copy, Debug)]
 pub struct Warming {
--- a/crates/fernslip/src/filter.rs
+++ b/crates/fernslip/src/filter.rs
@@ -118,6 +118,12 @@
         places.into_iter().map(|at| self.apply_one(Change { at, up: false })).collect()
     }
 
+    /// What would make an empty filter show what this one shows.
+    pub fn shown(&self) -> Vec<Change> {
+        let held = |at: &u32| Self::get(&self.now, *at).max(Self::get(&self.old, *at)) > 0;
+        (0..self.counters() as u32).filter(held).map(|at| Change { at, up: true }).collect()
+    }
+
     fn apply_one(&mut self, c: Change) -> Change {
         Self::step(&mut self.now, c.at, c.up);
         c
--- a/crates/fernslip/src/lib.rs
+++ b/crates/fernslip/src/lib.rs
@@ -111,11 +111,14 @@
 pub mod filter;
 pub mod hand;
 pub mod json;
+mod mates;
 mod message;
 mod place;
 mod policy;
+mod purges;
 mod share;
 mod state;
+mod welcome;
 mod width;
 
 pub use api::*;
--- /dev/null
+++ b/crates/fernslip/src/mates.rs
@@ -0,0 +1,95 @@
+//! The location's other routers, by their messages, and since when this one learns.
+
+use crate::place::mix;
+use std::collections::BTreeSet;
+
+/// Who was heard, and over how long things were learned, here or by one whose knowledge was taken over.
+#[derive(Clone, Debug, Default)]
+pub struct Mates {
+    heard: BTreeSet<u32>,
+    /// When this router's first event came.
+    pub began: Option<f64>,
+    /// For how much longer one had learned whose knowledge it took over.
+    told_ms: f64,
+}
+
+impl Mates {
+    /// An event came at that time.
+    pub fn event(&mut self, now: f64) {
+        self.began.get_or_insert(now);
+    }
+
+    /// One was heard, of this location or of another.
+    pub fn heard(&mut self, from: u32, is_mate: bool) {
+        if is_mate {
+            self.heard.insert(from);
+        } else {
+            self.heard.remove(&from);
+        }
+    }
+
+    /// Their numbers.
+    pub fn all(&self) -> impl Iterator<Item = u32> + '_ {
+        self.heard.iter().copied()
+    }
+
+    /// Whether all of a location of `routers` were heard, this one included.
+    pub fn are_all(&self, routers: u32) -> bool {
+        self.heard.len() + 1 >= routers as usize
+    }
+
+    /// This router's place among the location's: by the order of their numbers, and by chance while some were not heard.
+    pub fn place(&self, own: u32, routers: u32) -> u32 {
+        if !self.are_all(routers) {
+            return mix(own.into()) as u32;
+        }
+        self.heard.iter().filter(|&&m| m < own).count() as u32
+    }
+
+    /// Whether this router is the one that comes after `other` in the order of numbers, round and round.
+    pub fn comes_after(&self, own: u32, other: u32) -> bool {
+        let after = |m: u32| m.wrapping_sub(other);
+        self.heard.iter().all(|&m| m == other || after(own) < after(m))
+    }
+
+    /// Over how long things were learned, in milliseconds.
+    pub fn known_ms(&self, now: f64) -> f64 {
+        self.began.map_or(0.0, |b| now - b) + self.told_ms
+    }
+
+    /// Knowledge of that many milliseconds is taken over, if it is more than there is.
+    pub fn take_over(&mut self, now: f64, known_ms: f64) -> bool {
+        let more = known_ms - self.known_ms(now);
+        self.told_ms += more.max(0.0);
+        more > 0.0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_has_a_place_of_its_own_and_one_comes_next() {
+        let numbers = [3u32, 7, 20, 21];
+        let of = |own: u32| {
+            let mut m = Mates::default();
+            numbers.iter().filter(|n| **n != own).for_each(|n| m.heard(*n, true));
+            m
+        };
+        let places: Vec<u32> = numbers.iter().map(|n| of(*n).place(*n, 4)).collect();
+        assert_eq!(places, [0, 1, 2, 3]);
+        let next = |other: u32| {
+            numbers.iter().filter(|n| **n != other && of(**n).comes_after(**n, other)).collect::<Vec<_>>()
+        };
+        assert_eq!([next(3), next(7), next(20), next(21)], [[&7], [&20], [&21], [&3]]);
+    }
+
+    #[test]
+    fn what_is_taken_over_counts_from_then_on() {
+        let mut m = Mates::default();
+        m.event(1_000.0);
+        assert!(m.take_over(1_010.0, 9_000.0) && !m.take_over(1_020.0, 5_000.0));
+        assert_eq!(m.known_ms(2_010.0), 10_000.0);
+    }
+}
--- a/crates/fernslip/src/message.rs
+++ b/crates/fernslip/src/message.rs
@@ -1,6 +1,6 @@
 //! What routers tell each other, as bytes: a version, the sender's location, and a greeting or one cache's changes.
 
-use crate::filter::{decode, Change};
+use crate::filter::{decode, encode, Change};
 
 /// Bytes of a cache's tag in messages; a mistaken one is a wrong guess only.
 pub const TAG_BYTES: usize = 3;
@@ -25,6 +25,13 @@
     [&[VERSION, zone][..], &tag].concat()
 }
 
+/// Messages of at most so many bytes that tell changes of the cache with that tag.
+pub fn changes(zone: u8, tag: u64, changes: &[Change], most: usize) -> Vec<Vec<u8>> {
+    let tag = tag.to_be_bytes();
+    let head = head(zone, [tag[0], tag[1], tag[2]]);
+    encode(changes, most - head.len()).into_iter().map(|piece| [&head[..], &piece].concat()).collect()
+}
+
 /// Reads a message and its sender's location, for filters of `counters`; `None`: it makes no sense.
 pub fn read(data: &[u8], counters: usize) -> Option<(u8, Message)> {
     let [VERSION, zone, rest @ ..] = data else { return None };
@@ -42,7 +49,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::filter::encode;
 
     #[test]
     fn what_is_written_is_read_and_what_is_cut_or_odd_is_not() {
--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -6,12 +6,15 @@
 
 use crate::api::*;
 use crate::cold::Warming;
-use crate::filter::{encode, hash, Change, Filter};
+use crate::filter::{hash, Change, Filter};
+use crate::mates::Mates;
 use crate::message::{self, Message};
 use crate::place::{mix, score, word};
-use crate::share::Gate;
-use crate::state::{Attempt, Cache, Plan, Req, Role, Way};
-use crate::width::{Answer, Delivered, Width};
+use crate::purges::Purges;
+use crate::share::{Gate, Turned};
+use crate::state::{mean_proven, Attempt, Cache, Plan, Req, Role, Way};
+use crate::welcome::Welcome;
+use crate::width::{Answer, Width};
 use std::collections::{BTreeMap, BTreeSet};
 
 // The design's own figures. Counters: some 16 for each key that a cache sees in a generation at 100/s.
@@ -22,8 +25,10 @@
 /// the few a second that one of many routers sees, that outlasts the generations.
 const SYNC_REQUESTS: u32 = 100;
 const MESSAGE_BYTES: usize = 256;
-/// Purges, and changes of a cache not yet told: beyond it the oldest purge bounds all objects instead, and
-/// changes are not told.
+/// Who has learned for less has nothing to tell one that starts; messages with a cache's keys, at the most.
+const WELCOME_FROM_MS: f64 = 2_000.0;
+const WELCOME_PIECES: usize = 8;
+/// Changes of a cache not yet told: beyond it they are not.
 const MAX_NOTED: usize = 4096;
 
 // Health: moving share of failures, ejection above the one bound, re-admission below the other.
@@ -78,6 +83,7 @@
 const PURGE_MARGIN_MS: f64 = 5.0; // copies must be younger than a purge by so much, besides the tick
 const LOG_EVERY_MS: f64 = 5_000.0;
 const NO_SOURCE: &str = "no source is up";
+const TURNED: &str = "sources turn fills away";
 // Ranks: keys counted this often lately are kept at the higher ranks.
 const RANK2_FROM: u8 = 1;
 const RANK3_FROM: u8 = 4;
@@ -92,9 +98,7 @@
     seed: u64,
     caches: BTreeMap<CacheId, Cache>,
     reqs: BTreeMap<RequestId, Req>,
-    /// When an object (true) or a group was purged last.
-    purges: BTreeMap<(bool, u64), f64>,
-    forgotten: Option<f64>,
+    purges: Purges,
     wanted: Filter,
     next_age: f64,
     watching: bool,
@@ -103,11 +107,11 @@
     /// By role, the least that told links let expect; 0: none are told.
     first: [f64; 3],
     fills: Gate,
+    turned: Turned,
     given_up: BTreeMap<&'static str, u32>,
     next_log: f64,
     since_sync: u32,
-    /// The location's other routers, by their messages.
-    mates: BTreeSet<u32>,
+    mates: Mates,
     retries: f64,
     mean_ms: Vec<f64>,
     witness: bool,
@@ -125,18 +129,18 @@
             seed,
             caches: BTreeMap::new(),
             reqs: BTreeMap::new(),
-            purges: BTreeMap::new(),
-            forgotten: None,
+            purges: Purges::default(),
             wanted: Filter::new(COUNTERS, HASHES),
             next_age: 0.0,
             watching: false,
             typical: [0.0; 3],
             first: [0.0; 3],
             fills: Gate::default(),
+            turned: Turned::default(),
             given_up: BTreeMap::new(),
             next_log: 0.0,
             since_sync: 0,
-            mates: BTreeSet::new(),
+            mates: Mates::default(),
             retries: RETRIES_SAVED,
             mean_ms: vec![0.0; n],
             witness: false,
@@ -149,6 +153,7 @@
         if now_ms.is_finite() {
             self.now = self.now.max(now_ms);
         }
+        self.mates.event(self.now);
         self.age(actions);
         match event {
             Event::Fleet { kind, entries } => self.fleet(kind, entries, actions),
@@ -176,15 +181,14 @@
         self.next_age = self.now + GENERATION_MS;
         // Greets all when it starts, and once a generation while a router of the location was not heard of:
         // finds strangers, restarts and late joiners. Where one is gone for good it costs a few bytes.
-        if self.set.peers && self.mates.len() + 1 < self.zone_routers() as usize {
-            out.push(Action::TellAll { data: self.greeting(true) });
+        if self.set.peers && !self.mates.are_all(self.zone_routers()) {
+            out.push(Action::TellAll { data: message::greeting(self.set.zone as u8, true) });
         }
         self.caches.values_mut().for_each(|c| c.filter.age());
         self.wanted.age();
         self.caches.retain(|_, c| c.phase != Phase::Out || c.open.own.now > 0.0);
         let keep = self.set.purge_done_ms.max(2.0 * GENERATION_MS) + GENERATION_MS;
-        let now = self.now;
-        self.purges.retain(|_, at| now - *at < keep);
+        self.purges.drop_before(self.now - keep);
     }
 
     fn fleet(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
@@ -213,32 +217,26 @@
             if role == Role::Edge && e.zone != Some(self.set.zone) {
                 continue;
             }
-            let c = self.caches.entry(e.cache).or_insert_with_key(|id| Cache {
-                born: e.born_ms,
-                tag: word(hash(&id.0.bytes().map(u64::from).collect::<Vec<_>>())),
-                phase: e.phase,
-                pace: 1.0,
-                quick: 1.0,
-                filter: if role == Role::Edge { Filter::new(COUNTERS, HASHES) } else { Filter::default() },
-                ..Cache::default()
+            let counters = if role == Role::Edge { COUNTERS } else { 0 };
+            let c = self.caches.entry(e.cache).or_insert_with_key(|id| {
+                Cache::new(
+                    word(hash(&id.0.bytes().map(u64::from).collect::<Vec<_>>())),
+                    e.born_ms,
+                    e.phase,
+                    counters,
+                    HASHES,
+                )
             });
             if e.born_ms > c.born || (c.phase == Phase::Out && e.phase == Phase::In) {
-                c.born = c.born.max(e.born_ms);
-                c.filter.clear();
-                c.changes.clear();
-                (c.bad, c.said, c.ejected, c.quiet_by, c.pace, c.quick) = (0.0, 0.0, false, None, 1.0, 1.0);
-                c.link.lately = Delivered::default();
+                c.begin_again(e.born_ms);
             }
             (c.role, c.zone, c.cell, c.phase) = (role, e.zone, e.cell, e.phase);
             c.told = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
             c.link.guess(c.told);
         }
         // Caches that keep anything send more than their link brings in; a parent feeds a location or more.
-        let links = self.set.link_in_kb_per_s.iter().map(|kb| kb / self.set.stream_kb_per_s);
-        let told: Vec<f64> = links.clone().filter(|l| *l > 0.0).collect();
         let n = self.caches.values().filter(|c| c.role == Role::Edge && c.phase != Phase::Out).count();
-        let own = links.clone().nth(self.set.zone).unwrap_or(0.0) / n.max(1) as f64;
-        self.first = [own, told.iter().sum::<f64>() / told.len().max(1) as f64, 0.0];
+        self.first = self.set.told_widths(n);
         // Where links are told, pooled caches need fills for a part of what they can send.
         let told = self.caches.values().filter(|c| c.role == Role::Edge && c.told != 1.0);
         self.fills.guess(told.map(|c| c.told).sum::<f64>() * FILLS_PER_WEIGHT);
@@ -268,8 +266,7 @@
         let id = ask.id;
         let saved = (RETRIES_SAVED / f64::from(self.zone_routers())).max(1.0);
         self.retries = (self.retries + RETRIES_PER_REQUEST).min(saved);
-        let (attempts, failed) = (Vec::new(), BTreeSet::new());
-        let req = Req { ask, key, deadline, work_ms, aim_ms, attempts, failed, done: false };
+        let req = Req::new(ask, key, deadline, work_ms, aim_ms);
         self.dispatch(req, out);
         if let Some(r) = self.reqs.get(&id).filter(|r| !self.set.classes[r.ask.class].write) {
             self.wanted.bump(r.key);
@@ -283,17 +280,19 @@
 
     /// Makes the next attempt, or gives the request its final answer at once.
     fn dispatch(&mut self, mut req: Req, out: &mut Vec<Action>) {
-        let (cache, source, way) = match self.choose(&req) {
+        let plan = self.choose(&req);
+        self.turned.held(self.now, matches!(plan, Err(TURNED) | Ok((_, _, Way::Look))));
+        let (cache, source, way) = match plan {
             Ok(plan) => plan,
             Err(why) => return self.give_up(req, why, out),
         };
         let class = &self.set.classes[req.ask.class];
-        let age_ms = self.age_bound(&req);
+        let age_ms = self.age_bound(&req, way == Way::Look);
         let left = self.left(&req);
         let may_retry = req.attempts.len() + 1 < self.set.max_attempts as usize;
         // A fill runs on while the client waits: one that is dropped keeps nothing and is asked for again.
         let short = (req.aim_ms * AIMS).min(left * PART_OF_LEFT).max(LEAST_TRY_MS);
-        let time = if may_retry && way == Way::Hit { short } else { left };
+        let time = if may_retry && matches!(way, Way::Hit | Way::Look) { short } else { left };
         let rank = self.rank(&req);
         out.push(Action::Get {
             id: req.ask.id,
@@ -309,10 +308,7 @@
         for id in [&cache, &source] {
             let window = self.set.cold_window_ms;
             let Some(c) = self.caches.get_mut(id) else { continue };
-            c.sent.push_back((now, cost));
-            while c.sent.front().is_some_and(|s| s.0 < now - window) {
-                c.sent.pop_front();
-            }
+            c.sends(now, cost, window);
             if c.ejected || c.silent(now) {
                 self.tried(id);
             }
@@ -335,17 +331,7 @@
         if way == Way::Fill {
             self.fills.open.step(now, 1.0);
         }
-        let attempt = Attempt {
-            cache,
-            source,
-            sent: now,
-            seen,
-            way,
-            late: false,
-            open: true,
-            called_off: false,
-            ending: None,
-        };
+        let attempt = Attempt::new(cache, source, now, seen, way);
         req.attempts.push(attempt);
         self.reqs.insert(req.ask.id, req);
     }
@@ -434,9 +420,15 @@
             let source = source.ok_or(NO_SOURCE)?;
             return Ok((id.clone(), source.clone(), Way::Write));
         }
+        let drawn = mix(req.ask.id.0 ^ self.seed ^ req.attempts.len() as u64);
+        let held_back = self.turned.holds_back(self.now, drawn);
         if home.filter.shows(req.key) {
-            let source = parent.or(origin).unwrap_or(id);
-            return Ok((id.clone(), source.clone(), Way::Hit));
+            // Where sources turn fills away, a copy past its fresh time is better than none.
+            let refused = req.attempts.last().is_some_and(|a| a.ending == Some(Ending::Saturated));
+            let looks = held_back || refused && class.grace_ms > 0.0;
+            let (source, way) =
+                if looks { (id, Way::Look) } else { (parent.or(origin).unwrap_or(id), Way::Hit) };
+            return Ok((id.clone(), source.clone(), way));
         }
         let held = |i: &CacheId, c: &Cache| {
             i != id && c.filter.shows(req.key) && self.fits(i, c, req) && !self.is_slow(c)
@@ -446,8 +438,9 @@
         let source = sibling.or(parent).or(origin).ok_or(NO_SOURCE)?;
         // Without room for another fill, a miss is refused at once: it would only hold a place at the cache
         // that what is kept there needs. Guards against a slow origin, crowded links, flushes and scans.
-        if self.fills.is_shut(self.now, f64::from(self.zone_routers())) {
-            return Err("no room for fills");
+        let shut = self.fills.is_shut(self.now, f64::from(self.zone_routers()));
+        if sibling.is_none() && (shut || held_back) {
+            return Err(if shut { "no room for fills" } else { TURNED });
         }
         Ok((id.clone(), source.clone(), Way::Fill))
     }
@@ -553,27 +546,16 @@
         let cold = self.caches.get(id).is_none_or(|c| self.warming(c).is_some());
         let Some(c) = self.caches.get_mut(id).filter(|_| !cold) else { return };
         c.link.answered(now, Answer { work_ms, took_ms, base_ms, open }, routers);
-        let role = c.role;
-        let like = self.caches.values().filter(|c| c.role == role && c.link.proven.carries > 0.0);
-        let (n, sum) = like.fold((0.0, 0.0), |(n, sum), c| (n + 1.0, sum + c.link.proven.carries));
-        self.typical[role as usize] = if n > 0.0 { sum / n } else { 0.0 };
+        let role = c.role as usize;
+        self.typical[role] = mean_proven(self.caches.values(), role);
     }
 
     /// How it warms up, and the part of its budget that all routers together use; `None`: it is warm.
     fn warming(&self, c: &Cache) -> Option<Warming> {
-        let (from, ms, multiple) = match c.role {
-            Role::Parent => {
-                (self.set.parent_cold_from, self.set.parent_cold_ms, self.set.parent_cold_multiple)
-            }
-            _ => (self.set.cold_from, self.set.cold_ms, self.set.cold_multiple),
-        };
+        let [from, ms, multiple] = self.set.cold(c.role == Role::Parent);
         let cold = c.born > 0.0 && c.role != Role::Origin && self.now - c.born < ms;
-        cold.then_some(Warming {
-            from,
-            ms,
-            multiple,
-            rate: multiple * self.width(c, c.link.proven) * COLD_USE,
-        })
+        let rate = multiple * self.width(c, c.link.proven) * COLD_USE;
+        cold.then_some(Warming { from, ms, multiple, rate })
     }
 
     fn warmth(&self, c: &Cache) -> f64 {
@@ -583,15 +565,13 @@
     /// Whether a cold machine can be sent one more within its budget, shared among the routers that reach it.
     fn has_room(&self, c: &Cache, req: &Req) -> bool {
         let Some(warming) = self.warming(c) else { return true };
-        // By number among all; in a location by the order of those heard, or by chance while some were not.
-        let near = self.zone_routers();
+        let (near, slot) = (self.zone_routers(), self.set.slot);
         let (place, routers) = match c.role {
-            Role::Parent => (self.set.slot, self.set.routers.max(1)),
-            _ if self.mates.len() + 1 < near as usize => (mix(self.set.slot.into()) as u32, near),
-            _ => (self.mates.iter().filter(|&&m| m < self.set.slot).count() as u32, near),
+            Role::Parent => (slot, self.set.routers.max(1)),
+            _ => (self.mates.place(slot, near), near),
         };
         let (window, age) = (self.set.cold_window_ms, self.now - c.born);
-        let spent: f64 = c.sent.iter().filter(|s| s.0 >= self.now - window).map(|s| s.1).sum();
+        let spent = c.spent(self.now, window);
         let part = warming.rate * warming.warmth(age) * window / f64::from(routers);
         // What a router saw it send lately it can send now, and may be asked for within the same multiple.
         // One of several goes by that only where it knows no width: two ways at once would add up.
@@ -638,13 +618,14 @@
         }
     }
 
-    /// The oldest copy that will do, also where a fill is joined; 0: the class's own bound.
-    fn age_bound(&self, req: &Req) -> f64 {
-        let fresh = self.set.classes[req.ask.class].fresh_ms;
-        let keys = [(true, req.ask.object.0), (false, req.ask.group)];
-        let all = keys.iter().filter_map(|k| self.purges.get(k)).copied().chain(self.forgotten);
+    /// The oldest copy that will do, also to join a fill; 0: the class's bound. `late`: past its fresh time.
+    fn age_bound(&self, req: &Req, late: bool) -> f64 {
+        let class = &self.set.classes[req.ask.class];
+        let grace = if late && class.fresh_ms > 0.0 { class.grace_ms } else { 0.0 };
+        let most = class.fresh_ms + grace;
         let bound = |at: f64| (self.now - at - PURGE_MARGIN_MS - self.set.tick_ms).max(1.0);
-        all.reduce(f64::max).map(bound).filter(|&b| fresh == 0.0 || b < fresh).unwrap_or(0.0)
+        let purged = self.purges.of(req.ask.object.0, req.ask.group).map(bound);
+        purged.filter(|&b| most == 0.0 || b < most).unwrap_or(if grace > 0.0 { most } else { 0.0 })
     }
 
     fn rank(&self, req: &Req) -> u8 {
@@ -665,10 +646,10 @@
         };
         a.open = false;
         a.ending = Some(o.ending);
-        let (cache, way, seen, late) = (a.cache.clone(), a.way, a.seen, a.late);
+        let (cache, source, way) = (a.cache.clone(), a.source.clone(), a.way);
+        let (seen, late) = (a.seen, a.late);
         let in_time = o.elapsed_ms <= req.aim_ms;
         let (now, routers) = (self.now, f64::from(self.zone_routers()));
-        let source = a.source.clone();
         // A fill through a cache that crawls or is itself crowded tells nothing of its source or the links.
         let crawls = self.caches.get(&cache).is_some_and(|c| self.is_slow(c));
         let fill_pace = o.elapsed_ms / (req.work_ms + PACE_BASE_MS);
@@ -677,7 +658,8 @@
         let slow = crawls || busy || self.caches.get(&source).is_some_and(|c| self.is_slow(c));
         // Out of time before it was wanted, its client had no patience: that tells nothing of anybody.
         let overdue = o.ending == Ending::Overdue && !in_time;
-        let hit = o.ending == Ending::Completed && (o.detail == 1 || o.detail == 0 && way == Way::Hit);
+        let hit = o.ending == Ending::Completed
+            && (o.detail == 1 || o.detail == 0 && matches!(way, Way::Hit | Way::Look));
         if hit || way == Way::Fill && (o.ending == Ending::Completed || overdue) {
             let (id, base) = if hit { (&cache, HIT_BASE_MS) } else { (&source, PACE_BASE_MS) };
             let took = o.elapsed_ms / (req.work_ms + base);
@@ -688,6 +670,10 @@
                 self.measure(&id.clone(), req.work_ms, o.elapsed_ms, base, seen);
             }
         }
+        let by_source = o.ending == Ending::Saturated && o.elapsed_ms >= UNSEEN_MS;
+        if by_source || !hit && o.ending == Ending::Completed && way != Way::Write {
+            self.turned.ended(now, !by_source);
+        }
         let crowded = match o.ending {
             _ if slow => false,
             Ending::Completed => !in_time,
@@ -715,15 +701,17 @@
         }
         self.learn(&mut req, &o, crawls, out);
         req.done |= o.over;
+        // A look that found nothing cost nobody anything.
+        let cost = f64::from(u8::from(way != Way::Look || o.ending != Ending::LookupMiss));
         if req.is_open() {
             self.reqs.insert(o.id, req);
-        } else if !req.done && self.retries < 1.0 {
+        } else if !req.done && self.retries < cost {
             self.give_up(req, "too many retries", out);
         } else if !req.done && req.attempts.iter().filter(|a| a.ending == Some(Ending::Errored)).count() > 1 {
             // Two machines found an error in it: it is the request's own, and would be the next one's too.
             self.give_up(req, "errors", out);
         } else if !req.done {
-            self.retries -= 1.0;
+            self.retries -= cost;
             self.dispatch(req, out);
         }
     }
@@ -928,14 +916,7 @@
 
     fn purged(&mut self, object: Option<ObjectId>, group: u64, age_ms: f64) {
         let at = self.now - if age_ms.is_finite() { age_ms.max(0.0) } else { 0.0 };
-        let key = object.map_or((false, group), |o| (true, o.0));
-        if self.purges.len() >= MAX_NOTED {
-            let oldest = self.purges.iter().min_by(|a, b| a.1.total_cmp(b.1)).map(|p| *p.0);
-            let gone = oldest.and_then(|k| self.purges.remove(&k));
-            self.forgotten = self.forgotten.into_iter().chain(gone).reduce(f64::max);
-        }
-        let last = self.purges.entry(key).or_insert(at);
-        *last = last.max(at);
+        self.purges.note(object.map(|o| o.0), group, at);
     }
 
     // ---- peers ----
@@ -945,22 +926,12 @@
         self.set.zone_routers[self.set.zone].max(1)
     }
 
-    fn greeting(&self, asks: bool) -> Vec<u8> {
-        message::greeting(self.set.zone as u8, asks)
-    }
-
     /// Sends the location's routers what changed in the filters since the last time.
     fn tell(&mut self, out: &mut Vec<Action>) {
         for c in self.caches.values_mut() {
             let changes = std::mem::take(&mut c.changes);
-            if self.mates.is_empty() {
-                continue;
-            }
-            let tag = c.tag.to_be_bytes();
-            let head = message::head(self.set.zone as u8, [tag[0], tag[1], tag[2]]);
-            for piece in encode(&changes, MESSAGE_BYTES - head.len()) {
-                let data = [head.clone(), piece].concat();
-                out.extend(self.mates.iter().map(|&to| Action::Tell { to, data: data.clone() }));
+            for data in message::changes(self.set.zone as u8, c.tag, &changes, MESSAGE_BYTES) {
+                out.extend(self.mates.all().map(|to| Action::Tell { to, data: data.clone() }));
             }
         }
     }
@@ -968,18 +939,18 @@
     /// Takes a message: it shows its sender's location, and brings a mate's changes or is a greeting.
     fn heard(&mut self, from: u32, data: &[u8], out: &mut Vec<Action>) {
         let known = self.set.peers && from != self.set.slot && from < self.set.routers;
+        if let Some((_, w)) = Welcome::read(data).filter(|w| known && w.0 == self.set.zone as u8) {
+            return self.adopt(&w);
+        }
         // Malformed or foreign: counted, and it changes nothing else.
         let Some((zone, message)) = message::read(data, COUNTERS).filter(|_| known) else {
             self.odd += 1;
             return;
         };
-        if zone != self.set.zone as u8 {
-            self.mates.remove(&from);
-            return;
-        }
-        self.mates.insert(from);
+        self.mates.heard(from, zone == self.set.zone as u8);
         match message {
-            Message::Greeting(true) => out.push(Action::Tell { to: from, data: self.greeting(false) }),
+            _ if zone != self.set.zone as u8 => {}
+            Message::Greeting(true) => self.welcome(from, out),
             Message::Greeting(false) => {}
             Message::Changes(tag, changes) => {
                 let named = |c: &&mut Cache| c.tag.to_be_bytes().starts_with(&tag) && c.phase == Phase::In;
@@ -990,6 +961,35 @@
         }
     }
 
+    /// Tells one that has just started what it can't know. Guards against restarts of a part of all routers:
+    /// each would fill without a limit, and send to what the others know to be slow or failing.
+    fn welcome(&self, to: u32, out: &mut Vec<Action>) {
+        let (zone, known_ms) = (self.set.zone as u8, self.mates.known_ms(self.now));
+        out.push(Action::Tell { to, data: message::greeting(zone, false) });
+        if known_ms < WELCOME_FROM_MS {
+            return;
+        }
+        let up = self.caches.values().filter(|c| c.phase == Phase::In);
+        let w = Welcome::of(up.clone(), self.now, known_ms, self.fills.limit);
+        out.push(Action::Tell { to, data: w.encode(zone, MESSAGE_BYTES) });
+        // The keys that caches are known to hold: one of its mates tells them, the next by number.
+        if self.mates.comes_after(self.set.slot, to) {
+            for c in up.filter(|c| c.role == Role::Edge) {
+                let keys = message::changes(zone, c.tag, &c.filter.shown(), MESSAGE_BYTES);
+                out.extend(keys.into_iter().take(WELCOME_PIECES).map(|data| Action::Tell { to, data }));
+            }
+        }
+    }
+
+    /// Takes over what one that has known the location for longer has learned.
+    fn adopt(&mut self, w: &Welcome) {
+        if self.mates.take_over(self.now, w.known_ms) {
+            self.fills.limit = w.fills;
+            w.fill_in(self.caches.values_mut(), self.now, self.mates.began.unwrap_or(self.now));
+            self.typical = [0, 1, 2].map(|role| mean_proven(self.caches.values(), role));
+        }
+    }
+
     /// How many messages made no sense or came from no router of the tier.
     pub fn odd_messages(&self) -> u64 {
         self.odd
--- a/crates/fernslip/src/share.rs
+++ b/crates/fernslip/src/share.rs
@@ -148,6 +148,54 @@
     }
 }
 
+/// What sources took and turned away is forgotten so fast, in milliseconds: some ten fills of one of many routers.
+const TURNED_MS: f64 = 4_000.0;
+/// Fills asked for, as a multiple of those taken, up to which none is held back.
+const TURNED_SPARE: f64 = 1.5;
+
+/// Fills that sources took and turned away lately: what would be turned away with the rest is not asked for, so that a
+/// source that is past its limit has room for what matters more and for what it still takes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Turned {
+    asked: f64,
+    taken: f64,
+    at: f64,
+}
+
+impl Turned {
+    fn fade(&mut self, now: f64) {
+        let left = (-(now - self.at).max(0.0) / TURNED_MS).exp();
+        *self = Turned { asked: self.asked * left, taken: self.taken * left, at: now };
+    }
+
+    /// One has ended: its source took it, or turned it away.
+    pub fn ended(&mut self, now: f64, taken: bool) {
+        self.fade(now);
+        self.asked += 1.0;
+        self.taken += f64::from(u8::from(taken));
+    }
+
+    /// One was, or was not, held back here: it would have been asked for.
+    pub fn held(&mut self, now: f64, held: bool) {
+        if held {
+            self.fade(now);
+            self.asked += 1.0;
+        }
+    }
+
+    /// The share of fills that is to be held back now.
+    pub fn held_back(&self, now: f64) -> f64 {
+        let mut t = *self;
+        t.fade(now);
+        ((t.asked - TURNED_SPARE * (t.taken + 1.0)) / (t.asked + 1.0)).max(0.0)
+    }
+
+    /// Whether this one is, `drawn` being evenly spread over all numbers.
+    pub fn holds_back(&self, now: f64, drawn: u64) -> bool {
+        ((drawn >> 11) as f64) < self.held_back(now) * (1u64 << 53) as f64
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -162,6 +210,28 @@
         assert_eq!(c.of_all(10.0, 1.0), 5.0);
     }
 
+    /// A source past its limit is asked for little more than it takes; a few refusals hold nothing back.
+    #[test]
+    fn what_sources_turn_away_is_held_back() {
+        let mut t = Turned::default();
+        t.ended(0.0, false);
+        assert_eq!(t.held_back(0.0), 0.0, "one says nothing");
+        // Fifty a second are wanted; the source takes ten.
+        let (mut asked, mut taken) = (0, 0);
+        for n in 0..1_000u64 {
+            let now = 20.0 * n as f64;
+            if t.holds_back(now, crate::place::mix(n)) {
+                t.held(now, true);
+            } else {
+                let takes = taken as f64 <= now / 100.0;
+                t.ended(now, takes);
+                (asked, taken) = (asked + 1, taken + u32::from(takes));
+            }
+        }
+        assert!(asked < 2 * taken && taken > 190, "{asked} asked, {taken} taken");
+        assert_eq!(t.held_back(60_000.0), 0.0, "it is forgotten");
+    }
+
     #[test]
     fn a_report_counts_for_the_others_and_wears_out() {
         let mut c = Crowd::default();
--- a/crates/fernslip/src/state.rs
+++ b/crates/fernslip/src/state.rs
@@ -3,7 +3,7 @@
 use crate::api::*;
 use crate::filter::{Change, Filter, Hashes};
 use crate::share::Crowd;
-use crate::width::Link;
+use crate::width::{Delivered, Link};
 use std::collections::{BTreeSet, VecDeque};
 
 /// A machine's pace is forgotten so fast, in milliseconds.
@@ -86,12 +86,60 @@
     /// A sibling, a parent or the origin gives it.
     Fill,
     Write,
+    /// Only what the target holds, however old it may be: there is no room for a fill.
+    Look,
 }
 
 /// Target, source, and what is expected of them.
 pub type Plan = (CacheId, CacheId, Way);
 
+/// The average of what machines of a role were seen to send; 0: none was.
+pub fn mean_proven<'a>(all: impl Iterator<Item = &'a Cache>, role: usize) -> f64 {
+    let like = all.filter(|c| c.role as usize == role && c.link.proven.carries > 0.0);
+    let (n, sum) = like.fold((0.0, 0.0), |(n, sum), c| (n + 1.0, sum + c.link.proven.carries));
+    if n > 0.0 {
+        sum / n
+    } else {
+        0.0
+    }
+}
+
+impl Attempt {
+    pub fn new(cache: CacheId, source: CacheId, sent: f64, seen: [f64; 2], way: Way) -> Attempt {
+        let (late, open, called_off, ending) = (false, true, false, None);
+        Attempt { cache, source, sent, seen, way, late, open, called_off, ending }
+    }
+}
+
 impl Cache {
+    pub fn new(tag: u64, born: f64, phase: Phase, counters: usize, hashes: usize) -> Cache {
+        let filter = Filter::new(counters, hashes);
+        Cache { born, tag, phase, pace: 1.0, quick: 1.0, filter, ..Cache::default() }
+    }
+
+    /// It is sent work that costs so much; what is older than `window` is not counted any more.
+    pub fn sends(&mut self, now: f64, cost: f64, window: f64) {
+        self.sent.push_back((now, cost));
+        while self.sent.front().is_some_and(|s| s.0 < now - window) {
+            self.sent.pop_front();
+        }
+    }
+
+    /// The work that it was sent in the last `window`.
+    pub fn spent(&self, now: f64, window: f64) -> f64 {
+        self.sent.iter().filter(|s| s.0 >= now - window).map(|s| s.1).sum()
+    }
+
+    /// It has started anew: what was known of it is of the one before.
+    pub fn begin_again(&mut self, born: f64) {
+        self.born = self.born.max(born);
+        self.filter.clear();
+        self.changes.clear();
+        (self.bad, self.said, self.ejected, self.quiet_by) = (0.0, 0.0, false, None);
+        (self.pace, self.quick) = (1.0, 1.0);
+        self.link.lately = Delivered::default();
+    }
+
     pub fn pace_at(&self, now: f64) -> f64 {
         1.0 + (self.pace - 1.0) * (-(now - self.paced) / PACE_FADES_MS).exp()
     }
@@ -116,6 +164,11 @@
 }
 
 impl Req {
+    pub fn new(ask: Request, key: Hashes, deadline: f64, work_ms: f64, aim_ms: f64) -> Req {
+        let (attempts, failed) = (Vec::new(), BTreeSet::new());
+        Req { ask, key, deadline, work_ms, aim_ms, attempts, failed, done: false }
+    }
+
     pub fn is_open(&self) -> bool {
         self.attempts.iter().any(|a| a.open)
     }
--- a/crates/fernslip/src/width.rs
+++ b/crates/fernslip/src/width.rs
@@ -17,6 +17,17 @@
 /// was taken to be, is found to be wider in some ten answers.
 const RISE: f64 = 0.02;
 
+impl crate::api::Settings {
+    /// By role, the least that told links let expect of a machine's width, in a location of so many caches; 0: none are
+    /// told. Caches that keep anything send more than their link brings in; a parent feeds a location or more.
+    pub(crate) fn told_widths(&self, caches: usize) -> [f64; 3] {
+        let links = self.link_in_kb_per_s.iter().map(|kb| kb / self.stream_kb_per_s);
+        let told: Vec<f64> = links.clone().filter(|l| *l > 0.0).collect();
+        let own = links.clone().nth(self.zone).unwrap_or(0.0) / caches.max(1) as f64;
+        [own, told.iter().sum::<f64>() / told.len().max(1) as f64, 0.0]
+    }
+}
+
 /// What is known of a link's width, in transfers at full pace.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Width {
--- a/crates/fernslip/tests/fleet.rs
+++ b/crates/fernslip/tests/fleet.rs
@@ -465,3 +465,46 @@
     };
     assert_eq!(run(), run());
 }
+
+/// A restart of a part of all routers: one that starts knew no limit of fills, no width and no key, though its mates did,
+/// and asked parents and the origin for what its location's caches hold.
+#[test]
+fn one_that_starts_is_told_what_its_mates_have_learned() {
+    let set = |slot| Settings { slot, peers: true, ..settings() };
+    let start = |slot, now| {
+        let mut r = Rig::with(Settings { zone_routers: vec![0, 3, 0], routers: 3, ..set(slot) });
+        r.now = now;
+        let greets = r.list(fleet());
+        (r, greets)
+    };
+    let (mut old, mut other) = (start(0, 100_000.0).0, start(1, 100_000.0).0);
+    for o in 0..60 {
+        old.now += 50.0;
+        old.serve(o, 2);
+    }
+    other.now = old.now;
+    // Mates know each other.
+    other.event(Event::Peer { from: 0, data: vec![2, 1, 0] });
+    old.event(Event::Peer { from: 1, data: vec![2, 1, 0] });
+    let (mut new, greets) = start(2, old.now + 10.0);
+    let greeting = greets.iter().find_map(|a| match a {
+        Action::TellAll { data } => Some(data.clone()),
+        _ => None,
+    });
+    let mut bytes = 0;
+    for (from, r) in [(0, &mut old), (1, &mut other)] {
+        for a in r.event(Event::Peer { from: 2, data: greeting.clone().expect("it greets") }) {
+            if let Action::Tell { to: 2, data } = a {
+                bytes += data.len();
+                new.event(Event::Peer { from, data });
+            }
+        }
+    }
+    assert!(bytes < 4_000, "{bytes} bytes");
+    // What its mate's keys show is asked for as a hit: the attempt leaves time for another. A fill takes all there is.
+    let is_hit = |r: &mut Rig, o: u64| sent(&r.ask(o)).is_some_and(|s| s.until_ms - r.now < 4_000.0);
+    let known = (0..60).filter(|o| is_hit(&mut new, *o)).count();
+    assert!(!is_hit(&mut new, 10_000), "a key that nobody knows");
+    assert!(known >= 55, "{known} of 60 keys are known");
+    assert_eq!(new.router.odd_messages(), 0);
+}
