A front remembers its fellows, and is not settled before one of them or a seed answered

Cause: of 40 fronts two thirds were killed and came back at other addresses, the seeds among them; a seed that came back found nobody and said `settled` with itself alone (view/engine.rs, settled_since looked at its own bits only, which are all set in a view of one; call() knew no addresses but the seeds). Change: `view store="FILE"` keeps names and addresses of the fronts that count in crates/store, on a thread of its own; a front that starts calls them beside its seeds until one has taken it up, is not settled before, and names whom it misses. A disk that is damaged is set aside under another name and an empty one begun, one that stalls is not waited for past 2 s, one that fails ends the keeping and not the front; each is an error in the log. Rig: scenarios dark-thirds and dark-all.

--- /dev/null
+++ b/crates/front/src/control/keep.rs
@@ -0,0 +1,133 @@
+//! What a front keeps on disk across its restarts, on a thread of its own: the worker never waits for a disk, and a front
+//! whose disk fails serves on and says so.
+
+use crate::view::Fleet;
+use fernslip_store::layers::Fellow;
+use fernslip_store::{Change, Disk, Marks, Store, StoreError};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{mpsc, Arc};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// A front that starts waits so long for its disk; a slower one is not waited for, and what it knows is not used.
+const OPENS_IN: Duration = Duration::from_secs(2);
+/// Between two looks whether there is something to keep.
+const LOOK: Duration = Duration::from_secs(2);
+/// Fronts that are remembered: any one address that still holds is enough.
+const MOST_FELLOWS: usize = 256;
+
+/// What a front finds on its disk.
+#[derive(Debug, Default)]
+pub struct Found {
+    /// Its fellows, and where they were.
+    pub fellows: Vec<(String, SocketAddr)>,
+    /// The disk's marks at the last commit before this start; `None`: it was empty.
+    pub marks: Option<Marks>,
+}
+
+/// A front's disk.
+pub struct Keep {
+    store: Store,
+    kept: BTreeMap<String, Fellow>,
+}
+
+fn file(path: &Path) -> Result<impl Disk, StoreError> {
+    let opened = std::fs::OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path);
+    let opened = opened.map_err(|e| StoreError::Disk(e.to_string()))?;
+    fernslip_store::file(opened)
+}
+
+/// What can't be read is set aside, under the time, for whoever wants to look at it.
+fn set_aside(path: &Path) -> Option<PathBuf> {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    let aside = path.with_extension(format!("bad-{unix}"));
+    std::fs::rename(path, &aside).is_ok().then_some(aside)
+}
+
+impl Keep {
+    /// Opens the disk and reads what is there. What is damaged is set aside and an empty one begun.
+    ///
+    /// # Errors
+    /// Neither can be had: the front goes on without.
+    pub fn open(path: &Path, fresh: u64) -> Result<(Keep, Found), StoreError> {
+        let opened = file(path).and_then(|f| Store::open(f, fresh));
+        let (store, marks) = match opened {
+            Ok(opened) => opened,
+            // Of a later program, or held by another process: not this one's to set aside.
+            Err(e @ StoreError::Later(..)) => return Err(e),
+            Err(e) if e.to_string().contains("already open") => return Err(e),
+            Err(e) => {
+                let aside = set_aside(path);
+                tracing::error!(file = %path.display(), aside = ?aside, "store: {e}; an empty one is begun");
+                Store::open(file(path)?, fresh)?
+            }
+        };
+        let (all, damaged) = store.all::<Fellow>()?;
+        if damaged > 0 {
+            tracing::error!(damaged, "store: fellows that can't be read are left out");
+        }
+        let kept: BTreeMap<String, Fellow> = all.into_iter().collect();
+        let place = |(n, f): (&String, &Fellow)| Some((n.clone(), f.addr.parse().ok()?));
+        let fellows = kept.iter().filter_map(place).collect();
+        Ok((Keep { store, kept }, Found { fellows, marks }))
+    }
+
+    /// The same, within [`OPENS_IN`]. A disk that stalls keeps its thread, not the front.
+    pub fn open_soon(path: &Path, fresh: u64) -> Option<(Keep, Found)> {
+        let (tell, hear) = mpsc::channel();
+        let own = path.to_path_buf();
+        let opens = std::thread::Builder::new().name("store-open".into()).spawn(move || {
+            let _ = tell.send(Keep::open(&own, fresh));
+        });
+        let why = match opens.map(|_| hear.recv_timeout(OPENS_IN)) {
+            Ok(Ok(Ok(opened))) => return Some(opened),
+            Ok(Ok(Err(e))) => e.to_string(),
+            Ok(Err(_)) => format!("not open after {} ms", OPENS_IN.as_millis()),
+            Err(e) => e.to_string(),
+        };
+        tracing::error!(file = %path.display(), "store: {why}; nothing is kept and nothing from before is known");
+        None
+    }
+
+    /// Keeps which fronts there are. Those that are gone are forgotten only once others are there: after a loss of power
+    /// nobody is, and the addresses are needed.
+    fn look(&mut self, fleet: &Fleet) -> Result<(), StoreError> {
+        let now: BTreeMap<String, Fellow> = fleet.fellows().into_iter().take(MOST_FELLOWS).collect();
+        if now.is_empty() || now == self.kept {
+            return Ok(());
+        }
+        let mut changes = Vec::new();
+        for (name, fellow) in now.iter().filter(|(n, f)| self.kept.get(*n) != Some(f)) {
+            changes.push(Change::put(name, fellow)?);
+        }
+        // One that restarts with the others is away for a while: half of them must be there to let go of the rest.
+        let lets_go = 2 * now.len() >= self.kept.len();
+        for name in self.kept.keys().filter(|n| lets_go && !now.contains_key(*n)) {
+            changes.push(Change::remove::<Fellow>(name)?);
+        }
+        if changes.is_empty() {
+            return Ok(());
+        }
+        self.store.commit(&changes)?;
+        if lets_go {
+            self.kept = now;
+        } else {
+            self.kept.extend(now);
+        }
+        Ok(())
+    }
+
+    /// Keeps what changes, until a write fails; on a thread of its own.
+    pub fn run(mut self, fleet: Arc<Fleet>) {
+        let Marks { boots, commits, .. } = self.store.marks();
+        tracing::info!(boots, commits, "store: open");
+        loop {
+            std::thread::sleep(LOOK);
+            if let Err(e) = self.look(&fleet) {
+                tracing::error!("store: {e}; nothing more is kept until a restart");
+                return;
+            }
+        }
+    }
+}
--- a/crates/front/src/control/view.rs
+++ b/crates/front/src/control/view.rs
@@ -38,6 +38,8 @@
     pub keys: Keyring,
     /// The local socket.
     pub control: Option<PathBuf>,
+    /// The file in which the front keeps what it knows.
+    pub store: Option<PathBuf>,
 }
 
 impl Plan {
@@ -85,7 +87,8 @@
             ..default
         };
         let control = v.control.as_ref().map(Into::into);
-        Ok(Plan { config: told, listen, advertised: advertise.is_some(), keys, control })
+        let store = v.store.as_ref().map(Into::into);
+        Ok(Plan { config: told, listen, advertised: advertise.is_some(), keys, control, store })
     }
 }
 
@@ -102,13 +105,20 @@
 }
 
 impl Fleet {
-    /// Takes its address. `seed` differs from process to process; `gossip` is where this front gossips, for the others.
+    /// Takes its address. `seed` differs from process to process; `gossip` is where this front gossips, for the others;
+    /// `remembered`, where others were when it last ran.
     ///
     /// # Errors
     /// The address can't be had.
-    pub fn bind(plan: &Plan, clock: &Clock, seed: u64, gossip: Option<SocketAddr>) -> std::io::Result<Fleet> {
+    pub fn bind(
+        plan: &Plan,
+        clock: &Clock,
+        seed: u64,
+        gossip: Option<SocketAddr>,
+        remembered: Vec<(String, SocketAddr)>,
+    ) -> std::io::Result<Fleet> {
         let socket = UdpSocket::bind(plan.listen)?;
-        let mut config = Config { gossip, ..plan.config.clone() };
+        let mut config = Config { gossip, remembered, ..plan.config.clone() };
         if !plan.advertised {
             // A port that the system chose is the one that others are told.
             config.addr = socket.local_addr()?;
@@ -132,6 +142,20 @@
         lock(&self.view).gossips()
     }
 
+    /// The others that are counted on, as they are kept on disk.
+    pub fn fellows(&self) -> Vec<(String, fernslip_store::layers::Fellow)> {
+        let view = lock(&self.view);
+        let own = view.config().name.clone();
+        let others = view.members(self.clock.now()).into_iter().map(|s| s.fact);
+        others
+            .filter(|f| f.stand.counts() && f.name != own)
+            .map(|f| {
+                let (addr, location, generation) = (f.addr.to_string(), f.location, f.generation);
+                (f.name, fernslip_store::layers::Fellow { addr, location, generation })
+            })
+            .collect()
+    }
+
     fn feed(&self, event: Event) {
         let mut actions = Vec::new();
         lock(&self.view).handle(now(&self.clock), event, &mut actions);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use boxes::{lanes, resp, upstream};
 pub use clients::{budget, call, figures, listen, msgpack_rpc, relay, server};
-pub use control::{bus, config, gossip, keyfile, ops, peers, plan, reload, view};
+pub use control::{bus, config, gossip, keep, keyfile, ops, peers, plan, reload, view};
 
 use bus::Bus;
 use clock::Clock;
@@ -250,6 +250,13 @@
 
 impl std::error::Error for StartError {}
 
+/// An id for a disk that is empty: another each time.
+fn rand_id() -> u64 {
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let seed = unix.as_nanos() as u64 ^ u64::from(std::process::id()).rotate_left(40);
+    rand::Rng::random(&mut <rand_chacha::ChaCha8Rng as rand::SeedableRng>::seed_from_u64(seed))
+}
+
 /// Starts a front and serves until SIGTERM, and then until all that came is answered.
 pub fn start(start: Start) -> Result<(), StartError> {
     let Start { config, plan, gossip, view, site } = start;
@@ -296,12 +303,19 @@
     };
     let fleet = match &view {
         Some(v) => {
+            let kept = v.store.as_deref().and_then(|file| keep::Keep::open_soon(file, rand_id()));
             // Another number for each process: births and orders must differ where all else is the same.
             let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
             let seed = config.seed ^ unix.as_nanos() as u64 ^ u64::from(std::process::id()).rotate_left(32);
             let gossips = talk.as_ref().map(|t| t.told_addr());
-            let f = Fleet::bind(v, &clock, seed, gossips).map_err(|e| StartError::Bind(v.listen, e))?;
-            let f = Arc::new(f);
+            let (keep, found) = kept.map_or((None, keep::Found::default()), |(k, f)| (Some(k), f));
+            let f = Fleet::bind(v, &clock, seed, gossips, found.fellows);
+            let f = Arc::new(f.map_err(|e| StartError::Bind(v.listen, e))?);
+            if let Some(keep) = keep {
+                let fleet = f.clone();
+                let run = std::thread::Builder::new().name("store".into()).spawn(move || keep.run(fleet));
+                run.map_err(StartError::Thread)?;
+            }
             if let Some(path) = &v.control {
                 f.answer_at(path).map_err(|e| StartError::Control(path.clone(), e))?;
             }
--- a/crates/rig/src/fronts.rs
+++ b/crates/rig/src/fronts.rs
@@ -155,8 +155,9 @@
         if self.with_view {
             let (key, control) = (self.keys.display().to_string(), self.control(place).display().to_string());
             let (listen, told) = (self.ground.own(place), self.ground.told(place));
+            let store = self.dir.join(format!("{name}.store")).display().to_string();
             text += &format!(
-                "view listen=\"{listen}\" advertise=\"{told}\" key-file={key:?} control={control:?} {{\n"
+                "view listen=\"{listen}\" advertise=\"{told}\" key-file={key:?} control={control:?} store={store:?} {{\n"
             );
             text += &format!("    seed \"{}\" \"{}\"\n}}\n", self.ground.told(0), self.ground.told(1));
         }
--- a/crates/rig/src/suite.rs
+++ b/crates/rig/src/suite.rs
@@ -34,6 +34,8 @@
     "replace",
     "garbage",
     "moved",
+    "dark-thirds",
+    "dark-all",
 );
 
 /// The main ones, for the largest fleets and for few processes in CI.
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -242,6 +242,9 @@
     pub key_file: String,
     /// The local socket for `fernslip fleet`.
     pub control: Option<String>,
+    /// The file in which the front keeps what it knows across its restarts; left out: it keeps nothing.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub store: Option<String>,
     /// Fronts to begin with: IP addresses and ports.
     pub seeds: Vec<String>,
     /// Fronts that watch each one.
--- a/crates/site/src/print.rs
+++ b/crates/site/src/print.rs
@@ -162,6 +162,7 @@
                 .text("advertise", v.advertise.as_deref())
                 .text("key-file", Some(&v.key_file))
                 .text("control", v.control.as_deref())
+                .text("store", v.store.as_deref())
                 .whole("watchers", v.watchers)
                 .whole("bytes-per-s", v.bytes_per_s)
                 .whole("burst-bytes", v.burst_bytes)
--- a/crates/site/src/read.rs
+++ b/crates/site/src/read.rs
@@ -218,6 +218,7 @@
         advertise: advertise.map(|a| a.0.into()),
         key_file: f.needed("key-file", key_file).unwrap_or_default(),
         control: f.owned("control"),
+        store: f.owned("store"),
         seeds: Vec::new(),
         // With one watcher a single front's word would end another.
         watchers: f.whole("watchers", 2..=16),
--- a/crates/site/tests/properties.rs
+++ b/crates/site/tests/properties.rs
@@ -138,6 +138,7 @@
                     advertise: Some("127.0.0.1:2".into()),
                     key_file: name.clone(),
                     control: Some(name.clone()),
+                    store: Some("n1.store".into()),
                     seeds: vec!["[::1]:2".into()],
                     watchers: Some(2),
                     bytes_per_s: None,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -41,6 +41,14 @@
 /// A disk beneath the store: a file, or [`lying::Platter`].
 pub use redb::StorageBackend as Disk;
 
+/// A file as a disk; it is held for this process alone.
+///
+/// # Errors
+/// Another process has it.
+pub fn file(file: std::fs::File) -> Result<impl Disk, StoreError> {
+    redb::backends::FileBackend::new(file).map_err(disk)
+}
+
 const TABLE: TableDefinition<&[u8], &[u8]> = TableDefinition::new("layers");
 /// What the store keeps in memory of the disk's pages, in bytes: fronts have little.
 const CACHE_BYTES: usize = 1 << 20;
--- a/crates/view/src/engine.rs
+++ b/crates/view/src/engine.rs
@@ -89,6 +89,9 @@
     pub configuration: u32,
     /// Fronts to begin with.
     pub seeds: Vec<SocketAddr>,
+    /// Fronts that this one knew when it last ran, and where they were then: called beside the seeds. One address that
+    /// still holds is enough to bring all together.
+    pub remembered: Vec<(String, SocketAddr)>,
     /// Fronts that watch one.
     pub watchers: usize,
     /// Bytes of datagrams a second, whatever happens.
@@ -110,6 +113,7 @@
             program: env!("CARGO_PKG_VERSION").into(),
             configuration: 0,
             seeds: Vec::new(),
+            remembered: Vec::new(),
             watchers: 7,
             bytes_per_s: 32_768,
             burst_bytes: 131_072,
@@ -117,6 +121,13 @@
     }
 }
 
+impl Config {
+    /// All that may be called before anybody is known: the seeds, and where others were when this front last ran.
+    fn begin_with(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.seeds.iter().copied().chain(self.remembered.iter().map(|r| r.1))
+    }
+}
+
 /// The time, by two clocks.
 #[derive(Clone, Copy, Debug)]
 pub struct Now {
@@ -262,6 +273,8 @@
     sequence: u32,
     word: u32,
     admitted: bool,
+    /// Where others were when this front last ran is let go of then, as one that ended is.
+    remembered_until: f64,
     stale: bool,
     settled_told: bool,
     left: bool,
@@ -298,6 +311,7 @@
         };
         let at = now.mono_ms;
         let part: f64 = rng.random();
+        let admitted = config.begin_with().all(|s| s == config.addr);
         let mut view = View {
             bucket: Bucket::new(config.bytes_per_s, config.burst_bytes, at),
             keys,
@@ -318,7 +332,8 @@
             number: rng.random(),
             sequence: 0,
             word: 0,
-            admitted: config.seeds.iter().all(|s| *s == config.addr),
+            admitted,
+            remembered_until: at + FORGET_MS,
             stale: true,
             settled_told: false,
             left: false,
@@ -381,13 +396,19 @@
     /// Since when all that are counted on are known to hold this view; `None` where some are not, or where this front
     /// has reason to doubt it: it is cut off, or one that it watches is silent.
     pub fn settled_since(&self, now_ms: f64) -> Option<f64> {
-        let doubts = self.watch.subjects.values().any(|s| s.doubted_ms.is_some());
+        // One that others have not taken up yet holds a view of itself alone, and they may hold another: nothing that it
+        // would rest on is settled.
+        let doubts = !self.admitted || self.watch.subjects.values().any(|s| s.doubted_ms.is_some());
         let alone = self.table.count() > 1 && now_ms - self.heard_ms > 3_000.0;
         self.settle.since().filter(|_| !doubts && !alone && self.twin.is_none())
     }
 
-    /// Those that are counted on and not known to hold this view.
+    /// Those that are counted on and not known to hold this view; before anybody has answered, those that this front knew
+    /// when it last ran.
     pub fn missing(&self) -> Vec<String> {
+        if !self.admitted {
+            return self.config.remembered.iter().map(|r| r.0.clone()).collect();
+        }
         let all = self.table.counted().enumerate();
         all.filter(|(i, _)| !self.settle.has(*i)).map(|(_, (_, h))| h.fact.name.clone()).collect()
     }
@@ -1139,13 +1160,16 @@
             let seeds: Vec<SocketAddr> =
                 self.config.seeds.iter().copied().filter(|s| *s != self.own.addr).collect();
             to.extend(seeds.choose_multiple(&mut self.rng, 2));
+            let before = self.config.remembered.iter().map(|r| r.1);
+            let before: Vec<SocketAddr> = before.filter(|a| *a != self.own.addr).collect();
+            to.extend(before.choose_multiple(&mut self.rng, 2));
             for to in to {
                 self.send(at, to, vec![hello.clone()], actions);
             }
             return;
         }
         let known: Vec<SocketAddr> = self.table.counted().map(|(_, h)| h.fact.addr).collect();
-        let seeds = self.config.seeds.iter().copied();
+        let seeds = self.config.begin_with().filter(|a| *a != self.own.addr);
         let gone = self.table.iter().filter(|(_, h)| h.fact.stand == Stand::Gone).map(|(_, h)| h.fact.addr);
         let lost: Vec<SocketAddr> = seeds.chain(gone).filter(|a| !known.contains(a)).collect();
         let part = (lost.len() as f64 * CALLS_A_SECOND / known.len().max(1) as f64).min(1.0);
@@ -1173,6 +1197,9 @@
 
     fn fade(&mut self, at: f64) {
         self.table.forget(FORGET_MS, at);
+        if self.admitted && at > self.remembered_until {
+            self.config.remembered.clear();
+        }
         let table = &self.table;
         self.watch.fade(|id| table.get(id).is_some_and(|h| h.fact.stand.counts()), at);
         self.tales.retain(|id, _| table.get(*id).is_some());
