--- a/crates/front/src/control/keep.rs
+++ b/crates/front/src/control/keep.rs
@@ -73,7 +73,7 @@
         Ok((Keep { store, kept }, Found { fellows, marks }))
     }
 
-    /// The same, within [`OPENS_IN`]. A disk that stalls keeps its thread, not the front.
+    /// The same, within two seconds. A disk that stalls keeps its thread, not the front.
     pub fn open_soon(path: &Path, fresh: u64) -> Option<(Keep, Found)> {
         let (tell, hear) = mpsc::channel();
         let own = path.to_path_buf();
