--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -13,7 +13,7 @@
 
 fn options(fronts: usize, seed: u64) -> Options {
     Options {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_fernslip")),
+        programs: fernslip_rig::fronts::Programs::one(PathBuf::from(env!("CARGO_BIN_EXE_fernslip"))),
         fronts: Some(fronts),
         seed,
         tmp: std::env::temp_dir(),
--- a/crates/front/src/control/keep.rs
+++ b/crates/front/src/control/keep.rs
@@ -55,8 +55,7 @@
         let (store, marks) = match opened {
             Ok(opened) => opened,
             // Of a later program, or held by another process: not this one's to set aside.
-            Err(e @ StoreError::Later(..)) => return Err(e),
-            Err(e) if e.to_string().contains("already open") => return Err(e),
+            Err(e @ (StoreError::Later(..) | StoreError::Held)) => return Err(e),
             Err(e) => {
                 let aside = set_aside(path);
                 tracing::error!(file = %path.display(), aside = ?aside, "store: {e}; an empty one is begun");
--- a/crates/rig/src/fronts.rs
+++ b/crates/rig/src/fronts.rs
@@ -44,6 +44,8 @@
     pub name: String,
     /// Its place among the links.
     pub place: usize,
+    /// Which program it runs, or will run when it is started next.
+    pub runs_other: bool,
     child: Option<Child>,
     /// Whether it runs.
     pub runs: Runs,
@@ -66,13 +68,63 @@
     pub at: Instant,
 }
 
+/// The programs that fronts run.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The one that is tried.
+    pub own: PathBuf,
+    /// Another build, for some of them, and whether it knows `store` in a document.
+    pub other: Option<(PathBuf, bool)>,
+    /// Which fronts begin with the other.
+    pub mix: Mix,
+}
+
+/// Which fronts begin with the other program.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mix {
+    /// None.
+    #[default]
+    Own,
+    /// All.
+    Other,
+    /// Each second one, from the second on: the first seed runs the own.
+    Odd,
+    /// Each second one, from the first on.
+    Even,
+}
+
+impl Mix {
+    fn is_other(self, place: usize) -> bool {
+        match self {
+            Mix::Own => false,
+            Mix::Other => true,
+            Mix::Odd => place % 2 == 1,
+            Mix::Even => place % 2 == 0,
+        }
+    }
+}
+
+impl Programs {
+    /// One program for all.
+    pub fn one(own: PathBuf) -> Programs {
+        Programs { own, other: None, mix: Mix::Own }
+    }
+
+    fn of(&self, other: bool) -> (&Path, bool) {
+        match &self.other {
+            Some((program, stores)) if other => (program, *stores),
+            _ => (&self.own, true),
+        }
+    }
+}
+
 /// Where the fronts are and what they are started with.
 pub struct Fronts {
     /// All that were ever started; one that was restarted stays in its place here.
     pub all: Vec<Front>,
     ground: Arc<Ground>,
     dir: PathBuf,
-    program: PathBuf,
+    programs: Programs,
     keys: PathBuf,
     /// Links between them.
     pub links: Arc<Links>,
@@ -97,7 +149,7 @@
     pub fn new(
         ground: Arc<Ground>,
         dir: &Path,
-        program: &Path,
+        programs: Programs,
         links: Arc<Links>,
         boxes: Arc<Boxes>,
         with_view: bool,
@@ -108,7 +160,7 @@
             all: Vec::new(),
             ground,
             dir: dir.into(),
-            program: program.into(),
+            programs,
             keys,
             links,
             boxes,
@@ -132,7 +184,7 @@
         self.dir.join(format!("{place}.sock"))
     }
 
-    fn document(&self, name: &str, place: usize) -> String {
+    fn document(&self, name: &str, place: usize, stores: bool) -> String {
         let mut text = format!(
             "site \"rig\" members-from=\"file\"\nfront {name:?} listen=\"{}\" zone=\"z{}\"\n",
             self.ground.clients(place),
@@ -156,8 +208,9 @@
             let (key, control) = (self.keys.display().to_string(), self.control(place).display().to_string());
             let (listen, told) = (self.ground.own(place), self.ground.told(place));
             let store = self.dir.join(format!("{name}.store")).display().to_string();
+            let store = if stores { format!(" store={store:?}") } else { String::new() };
             text += &format!(
-                "view listen=\"{listen}\" advertise=\"{told}\" key-file={key:?} control={control:?} store={store:?} {{\n"
+                "view listen=\"{listen}\" advertise=\"{told}\" key-file={key:?} control={control:?}{store} {{\n"
             );
             text += &format!("    seed \"{}\" \"{}\"\n}}\n", self.ground.told(0), self.ground.told(1));
         }
@@ -174,6 +227,7 @@
         let front = Front {
             name: format!("f{place}"),
             place,
+            runs_other: self.programs.mix.is_other(place),
             child: None,
             runs: Runs::No,
             down: None,
@@ -190,8 +244,9 @@
     fn start(&mut self, i: usize) -> io::Result<()> {
         let (name, place) = (self.all[i].name.clone(), self.all[i].place);
         let file = self.dir.join(format!("{place}.kdl"));
-        std::fs::write(&file, self.document(&name, place))?;
-        let mut child = Command::new(&self.program)
+        let (program, stores) = self.programs.of(self.all[i].runs_other);
+        std::fs::write(&file, self.document(&name, place, stores))?;
+        let mut child = Command::new(program)
             .args(["--log-format", "json", "run", "--site"])
             .arg(&file)
             .env_remove("RELAY_CONFIG")
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fronts;
 pub mod links;
 pub mod load;
+pub mod pairs;
 pub mod picture;
 pub mod play;
 pub mod scenario;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,6 +1,8 @@
 //! `fernslip-rig`: plays scenarios with real processes.
 
 use clap::{Parser, Subcommand};
+use fernslip_rig::fronts::Programs;
+use fernslip_rig::pairs;
 use fernslip_rig::play::{play, Options, Played};
 use fernslip_rig::scenario::Scenario;
 use fernslip_rig::{picture, suite};
@@ -61,6 +63,24 @@
         #[command(flatten)]
         with: With,
     },
+    /// Plays this build against an earlier landing of the repository: mixed, rolled forward and back; 3 where something
+    /// did not hold.
+    Pairs {
+        /// The earlier revision; without it the last landing's, as the repository names it.
+        #[arg(long)]
+        with: Option<String>,
+        /// Fronts.
+        #[arg(long, default_value_t = 9)]
+        fronts: usize,
+        /// Seeds.
+        #[arg(long, value_delimiter = ',', default_value = "1")]
+        seeds: Vec<u64>,
+        /// Where the rows go, as JSON; without it to standard output.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        #[command(flatten)]
+        options: With,
+    },
     /// Names the scenarios that come with the rig.
     List,
 }
@@ -85,7 +105,7 @@
         let program =
             program.ok_or("no program; build it (`cargo build --release`) or name it with --program")?;
         Ok(Options {
-            program,
+            programs: Programs::one(program),
             fronts,
             seed,
             tmp: std::env::temp_dir(),
@@ -153,6 +173,22 @@
             suite::ALL.iter().for_each(|(name, _)| println!("{name}"));
             Ok(true)
         }
+        Command::Pairs { with, fronts, seeds, json, options } => {
+            let other = pairs::build(with.as_deref())?;
+            let options = options.options(Some(fronts), 0)?;
+            let mut good = true;
+            let rows = pairs::play_all(&other, &seeds, &options, |p| {
+                told(p);
+                good &= holds(p);
+            })
+            .await?;
+            let text = format!("{:#}\n", serde_json::json!({ "with": other.revision, "rows": rows }));
+            match json {
+                Some(file) => write(&file, &text)?,
+                None => print!("{text}"),
+            }
+            Ok(good)
+        }
         Command::Run { scenario, fronts, seed, out, with } => {
             run(&scenario, &with.options(fronts, seed)?, out.as_deref()).await
         }
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -1,7 +1,7 @@
 //! One scenario with one seed: steps are taken, what must hold is looked at, figures are read.
 
 use crate::boxes::Boxes;
-use crate::fronts::{Fronts, Gone, Runs};
+use crate::fronts::{Fronts, Gone, Programs, Runs};
 use crate::links::{Faults, Links};
 use crate::load::Load;
 use crate::scenario::{Goal, Scenario, Step, Which};
@@ -27,11 +27,14 @@
 /// Two that were cut from each other may write of each other's end for so long after.
 const CUT_LASTS: Duration = Duration::from_secs(8);
 
+/// Between two groups of a roll the view settles within this time.
+const ROLL_SETTLES: Duration = Duration::from_secs(20);
+
 /// What a scenario is played with.
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// The program.
-    pub program: PathBuf,
+    /// The programs.
+    pub programs: Programs,
     /// Fronts; without it what the scenario says.
     pub fronts: Option<usize>,
     /// For all that is drawn.
@@ -167,7 +170,7 @@
     let ground = std::sync::Arc::new(Ground::take(n * 2 + 50)?);
     let links = Links::new(ground.clone(), options.seed);
     let boxes = Boxes::new(ground.clone(), options.boxes);
-    let fronts = Fronts::new(ground, dir.path(), &options.program, links, boxes, options.with_view)?;
+    let fronts = Fronts::new(ground, dir.path(), options.programs.clone(), links, boxes, options.with_view)?;
     let mut play = Play {
         options,
         scenario,
@@ -275,8 +278,25 @@
                 }
                 self.mark("go on", false);
             }
-            Step::Restart { moved } => {
+            Step::Roll { other, at_once } => {
+                let all: Vec<usize> = (0..self.fronts.all.len()).collect();
+                let due: Vec<usize> =
+                    all.into_iter().filter(|i| self.fronts.all[*i].runs_other != *other).collect();
+                for group in due.chunks(*at_once) {
+                    for i in group {
+                        if !self.fronts.term(*i).await? {
+                            self.breach(format!("{} did not end", self.fronts.all[*i].name), Some(*i)).await;
+                        }
+                        self.fronts.all[*i].runs_other = *other;
+                        self.fronts.restart(*i, false).await?;
+                    }
+                    self.mark("roll", false);
+                    Box::pin(self.step(&Step::Await(Goal::Settled, ROLL_SETTLES))).await?;
+                }
+            }
+            Step::Restart { moved, to } => {
                 for i in self.fronts.those(Runs::No) {
+                    self.fronts.all[i].runs_other = to.unwrap_or(self.fronts.all[i].runs_other);
                     self.fronts.restart(i, *moved).await?;
                 }
                 self.mark("restart", false);
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -48,6 +48,15 @@
     Restart {
         /// At another address than before.
         moved: bool,
+        /// With the other program, or the own; without it with the one that it ran.
+        to: Option<bool>,
+    },
+    /// Ends fronts in groups and starts them with the other program, or the own, until all run it.
+    Roll {
+        /// The other.
+        other: bool,
+        /// Fronts of a group.
+        at_once: usize,
     },
     /// Starts new fronts.
     Join(Which),
@@ -135,6 +144,16 @@
         ScenarioError { file: self.file.into(), line, column, what: what.into() }
     }
 
+    /// Which program `to` names.
+    fn to(&self, node: &KdlNode) -> Result<Option<bool>, ScenarioError> {
+        match node.get("to").map(|v| v.as_string()) {
+            None => Ok(None),
+            Some(Some("own")) => Ok(Some(false)),
+            Some(Some("other")) => Ok(Some(true)),
+            Some(_) => Err(self.at(node, "`to` is \"own\" or \"other\"")),
+        }
+    }
+
     fn at(&self, node: &KdlNode, what: impl Into<String>) -> ScenarioError {
         self.error(node.name().span().offset(), what)
     }
@@ -204,7 +223,8 @@
         let (keys, args): (&[&str], usize) = match label {
             "kill" | "stop" | "term" | "join" | "deaf" | "cut-boxes" => (&which, 0),
             "go-on" | "heal" => (&[], 0),
-            "restart" => (&["moved"], 0),
+            "restart" => (&["moved", "to"], 0),
+            "roll" => (&["to", "at-once"], 0),
             "partition" => (&["sides", "alone"], 0),
             "loss" => (&["part"], 0),
             "lossy" => (&["count", "part", "loses"], 0),
@@ -230,7 +250,14 @@
             "cut-boxes" => Step::CutBoxes(self.which(n)?),
             "go-on" => Step::GoOn,
             "heal" => Step::Heal,
-            "restart" => Step::Restart { moved: n.get("moved").is_some_and(|v| v == &KdlValue::Bool(true)) },
+            "restart" => Step::Restart {
+                moved: n.get("moved").is_some_and(|v| v == &KdlValue::Bool(true)),
+                to: self.to(n)?,
+            },
+            "roll" => Step::Roll {
+                other: self.to(n)?.ok_or_else(|| self.at(n, "`roll` needs to=\"own\" or to=\"other\""))?,
+                at_once: self.number(n, "at-once", 1.0, 10_000.0)?.map_or(1, |a| a as usize),
+            },
             "partition" => {
                 let alone = self.number(n, "alone", 1.0, 10_000.0)?.map(|a| a as usize);
                 let sides = self.number(n, "sides", 2.0, 100.0)?.map(|s| s as usize);
--- a/crates/rig/src/suite.rs
+++ b/crates/rig/src/suite.rs
@@ -36,6 +36,9 @@
     "moved",
     "dark-thirds",
     "dark-all",
+    "pair-forward",
+    "pair-back",
+    "pair-dark",
 );
 
 /// The main ones, for the largest fleets and for few processes in CI.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -46,7 +46,10 @@
 /// # Errors
 /// Another process has it.
 pub fn file(file: std::fs::File) -> Result<impl Disk, StoreError> {
-    redb::backends::FileBackend::new(file).map_err(disk)
+    redb::backends::FileBackend::new(file).map_err(|e| match e {
+        redb::DatabaseError::DatabaseAlreadyOpen => StoreError::Held,
+        e => disk(e),
+    })
 }
 
 const TABLE: TableDefinition<&[u8], &[u8]> = TableDefinition::new("layers");
@@ -68,6 +71,8 @@
     Later(&'static str, u16),
     /// A value is too long: the layer and its bytes.
     TooLong(&'static str, usize),
+    /// Another process has the file.
+    Held,
     /// An earlier commit failed; nothing more is written.
     Failed,
 }
@@ -83,6 +88,7 @@
             StoreError::TooLong(layer, bytes) => {
                 write!(f, "layer {layer}: {bytes} bytes, {MOST_VALUE} at most")
             }
+            StoreError::Held => write!(f, "another process has the file"),
             StoreError::Failed => write!(f, "an earlier commit failed: nothing more is written"),
         }
     }
--- a/crates/store/tests/disks.rs
+++ b/crates/store/tests/disks.rs
@@ -170,7 +170,9 @@
     };
     let (mut store, _) = Store::open(open().expect("free"), 4).expect("opened");
     put(&mut store, 1).expect("written");
-    assert!(open().is_err(), "two programs on one disk");
+    let second =
+        fernslip_store::file(std::fs::File::options().read(true).write(true).open(&file).expect("it"));
+    assert!(matches!(second.err(), Some(StoreError::Held)), "two programs on one disk");
     let told = store.marks();
     drop(store);
     let (store, found) = Store::open(open().expect("free"), 5).expect("opened");
