Model of edits and undos; an undo names the edits that go out of force with it

Cause: the new model over the real state machine found it (rules.rs, lost): versions between the current one and the one that comes back were walked by parent and by what an undo restores, and the walk stepped over the version asked for. After 1, 2, undo to 1, undo to 2 and another edit, an undo to the third version took edit 2 with it unsaid. Change: what is lost is reckoned by the edits in force under each version; what the current version itself brought is what is asked to go.

--- a/crates/record/src/rules.rs
+++ b/crates/record/src/rules.rs
@@ -2,7 +2,7 @@
 //! front that has taken the same commands holds the same.
 
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A text, by the first half of its SHA-256.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -34,7 +34,7 @@
 pub const MOST_KEY: usize = 64;
 
 /// A version of the rules. Its number never means anything else.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Version {
     /// From 1; version 0 is each front's own site document.
     pub number: u64,
@@ -55,7 +55,7 @@
 }
 
 /// What is asked. `base` is the version that the one who asks took for current.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Ask {
     /// Other rules than those of `base`.
     Edit {
@@ -72,13 +72,13 @@
         base: u64,
         /// Whose rules come back.
         to: u64,
-        /// The versions between the two that are known to be undone with it.
+        /// The edits that are known to go out of force with it, besides the current version's own.
         with: Vec<u64>,
     },
 }
 
 /// A command, as it stands in the record.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Command {
     /// Makes a repeat harmless: a command whose key was seen gets the answer that the first got.
     pub key: String,
@@ -93,7 +93,7 @@
 }
 
 /// Why a command changed nothing.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Refusal {
     /// Another version is current than the one it was made from: look at it and ask again.
     Moved {
@@ -138,7 +138,7 @@
 pub type Answer = Result<u64, Refusal>;
 
 /// The versions, as agreed so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Rules {
     versions: BTreeMap<u64, Version>,
     current: u64,
@@ -230,28 +230,32 @@
         Ok(number)
     }
 
-    /// What else an undo to that version would undo beside the current one: the versions between, whose rules are in
-    /// force through the current one. An undo that was itself undone, or leads back before `to`, is no loss.
-    pub fn lost(&self, to: u64) -> Vec<u64> {
-        let (mut lost, mut at) = (Vec::new(), self.current);
-        while at > to {
-            let Some(v) = self.version(at) else {
-                lost.push(at);
-                break;
-            };
-            // An undo stands for the version that it brought back, and what led there.
-            at = match v.restores {
-                Some(r) => r,
+    /// The edits that are in force under a version: its own and those that it was made on, through undos to what they
+    /// brought back. One that is no longer known stands for all before it.
+    fn in_force(&self, version: u64) -> BTreeSet<u64> {
+        let (mut edits, mut at) = (BTreeSet::new(), version);
+        while at > 0 {
+            at = match self.version(at).map(|v| (v.restores, v.parent)) {
+                Some((Some(restored), _)) => restored,
+                Some((None, parent)) => {
+                    edits.insert(at);
+                    parent
+                }
                 None => {
-                    if at != self.current {
-                        lost.push(at);
-                    }
-                    v.parent
+                    edits.insert(at);
+                    0
                 }
             };
         }
-        lost.reverse();
-        lost
+        edits
+    }
+
+    /// Edits that an undo to that version would take out of force, besides what the current version itself brought: to
+    /// undo that is what is asked. Versions between the two would not do: a later one may have brought back an earlier.
+    pub fn lost(&self, to: u64) -> Vec<u64> {
+        let (now, then) = (self.in_force(self.current), self.in_force(to));
+        let before = self.in_force(self.version(self.current).map_or(0, |v| v.parent));
+        now.into_iter().filter(|e| !then.contains(e) && before.contains(e)).collect()
     }
 }
 
@@ -299,6 +303,10 @@
         // What lies behind an undo is undone already: going further back loses nothing more of it.
         assert_eq!(edit(&mut r, "e6", 5, "six"), Ok(6));
         assert_eq!(r.lost(1), Vec::<u64>::new());
+        // An undo that brought an edit back is no bridge over it: found by the model.
+        assert_eq!(undo(&mut r, "u7", 6, 4, &[]), Ok(7));
+        assert_eq!(edit(&mut r, "e8", 7, "eight"), Ok(8));
+        assert_eq!(undo(&mut r, "u9", 8, 5, &[]), Err(Refusal::WouldLose { versions: vec![2, 3, 4] }));
     }
 
     #[test]
