--- a/crates/cli/tests/endings.rs
+++ b/crates/cli/tests/endings.rs
@@ -725,6 +725,71 @@
     all_given_back(play);
 }
 
+/// SIGTERM while a client reads its answers slowly: the connection is to close, and closes when the last byte that is owed
+/// is out. What the client asks meanwhile is turned away with a word, and not dropped.
+fn slow_reader_at_the_end() {
+    let mut play =
+        Play::start_with("slow-end", |c| c["settings"]["classes"][0]["deadline_ms"] = 120_000.into());
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a socket option");
+    let addr: std::net::SocketAddr = play.addr.parse().expect("an address");
+    socket.connect(&addr.into()).expect("the front listens");
+    let mut client = TcpStream::from(socket);
+    client.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+    let body = "x".repeat(240_000);
+    // Beyond what the sockets on the way hold.
+    let answers = 24;
+    for n in 1..=answers {
+        // The last is a write: the module calls none of them off by itself, however long the node says nothing.
+        let class = if n < answers { READ } else { WRITE };
+        send(&mut client, &call(n, class, u64::from(n), 100_000, &[]));
+        let (trace, _) = play.asked("a");
+        if n < answers {
+            play.answer("a", &trace, &format!("served tell=fill {body}"));
+        }
+    }
+    play.signal("TERM");
+    play.log("leaving");
+    // Work is taken for 650 ms. The last answer comes after that, behind others that wait to be read; a graceful close waits
+    // 400 ms for the other side's: far less than a slow reader may take, and one that reads nothing is closed after 5 s.
+    std::thread::sleep(Duration::from_millis(1000));
+    play.answer("a", &format!("{answers:016x}"), &format!("served tell=fill {body}"));
+    std::thread::sleep(Duration::from_millis(1000));
+    send(&mut client, &call(answers + 1, READ, u64::from(answers + 1), 15_000, &[]));
+    for n in 1..=answers {
+        let answer = said(&mut client);
+        assert!(answer.starts_with(&format!("[1,{n},null,[\"b:xxx")), "{n}: {answer:.60}");
+    }
+    assert_eq!(said(&mut client), format!("[1,{},{SHED},null]", answers + 1));
+    assert_eq!(said(&mut client), "closed");
+    let (code, lines) = play.exit();
+    assert_eq!(code, Some(0), "{lines:?}");
+}
+
+/// A connection comes up long after its request was made: the node is told the time that the client has left then.
+fn time_left_where_the_connection_comes_late() {
+    let patience = 15_000;
+    let (mut play, queue) = with_held("late-limit", slow_connects);
+    let mut client = play.connect();
+    let asked = Instant::now();
+    send(&mut client, &call(1, WRITE, 1, patience, &[]));
+    send(&mut client, &common::play::well(2));
+    assert_eq!(said(&mut client), "[1,2,null,[true,{}]]");
+    std::thread::sleep(Duration::from_millis(700));
+    let mut held = play.parties.remove("a").expect("held");
+    held.release(queue);
+    play.parties.insert("a", held);
+    let released = asked.elapsed().as_millis() as u64;
+    let (trace, fields) = play.asked("a");
+    let limit = fields.split(',').find_map(|f| f.strip_prefix("limit=")).expect("a limit");
+    let limit: u64 = limit.parse().expect("milliseconds");
+    assert!(limit <= patience - released + 150, "{limit} ms told, {released} of {patience} ms were gone");
+    play.answer("a", &trace, "served - done");
+    assert_eq!(said(&mut client), r#"[1,1,null,["b:done",{}]]"#);
+    drop(client);
+    all_given_back(play);
+}
+
 macro_rules! endings {
     ($($name:ident)*) => {
         mod ending { $(#[test] fn $name() { super::$name(); })* }
@@ -754,4 +819,6 @@
     accept_without_descriptors
     client_that_never_reads
     many_given_up_together
+    slow_reader_at_the_end
+    time_left_where_the_connection_comes_late
 }
