--- a/crates/cli/tests/endings.rs
+++ b/crates/cli/tests/endings.rs
@@ -790,6 +790,57 @@
     all_given_back(play);
 }
 
+/// Other clients hold all the room for parts of messages: a client that has a call open, and whose next one comes in two
+/// parts, is answered on both. Trouble with other clients frees no call of its answer.
+fn room_that_others_hold() {
+    // The least room that a front has: 1 MB for parts of messages.
+    let mut play = Play::start_with("room", |c| c["limits"]["memory_mb"] = 20.into());
+    let mut client = play.connect();
+    send(&mut client, &call(1, WRITE, 1, 15_000, &[]));
+    assert_eq!(play.asked("a").0, format!("{:016x}", 1));
+    let mut long = call(2, WRITE, 2, 15_000, &[]);
+    // The body is the last of it: `bin 8` of no bytes becomes `bin 16` of many.
+    long.truncate(long.len() - 2);
+    long.extend_from_slice(&[0xc5, 0xbb, 0x80]);
+    long.resize(long.len() + 48_000, b'x');
+    // As much as fits, and some that are turned away.
+    let part = vec![b'x'; 52_000];
+    let mut others: Vec<TcpStream> = (0..25).map(|_| play.connect()).collect();
+    for other in &mut others {
+        // An array of four whose third part, a string, is longer than what comes.
+        let _ = other.write_all(&[0x94, 0x00, 0x01, 0xda, 0xd0, 0x00]).and_then(|()| other.write_all(&part));
+    }
+    assert!(play.log("reason=no_room").contains("unanswered=0"));
+    send(&mut client, &long[..20_000]);
+    // The front has read the part when a later connection is answered.
+    let mut later = play.connect();
+    send(&mut later, &common::play::well(1));
+    assert_eq!(said(&mut later), "[1,1,null,[true,{}]]");
+    send(&mut client, &long[20_000..]);
+    assert_eq!(play.asked("a").0, format!("{:016x}", 2));
+    for n in [1, 2] {
+        play.answer("a", &format!("{n:016x}"), "served - done");
+        assert_eq!(said(&mut client), format!(r#"[1,{n},null,["b:done",{{}}]]"#));
+    }
+    drop((client, later, others));
+    all_given_back(play);
+}
+
+/// A client has begun its next message and does not end it: what it asked before is answered all the same.
+fn half_a_message_behind_an_open_call() {
+    let mut play = Play::start("half-behind");
+    let mut client = play.connect();
+    send(&mut client, &call(1, WRITE, 1, 15_000, &[]));
+    assert_eq!(play.asked("a").0, format!("{:016x}", 1));
+    send(&mut client, &call(2, READ, 2, 15_000, &[])[..20]);
+    // Beyond the 2 s in which a message that has begun is to end.
+    std::thread::sleep(Duration::from_millis(2600));
+    play.answer("a", &format!("{:016x}", 1), "served - done");
+    assert_eq!(said(&mut client), r#"[1,1,null,["b:done",{}]]"#);
+    assert_eq!(said(&mut client), "closed");
+    all_given_back(play);
+}
+
 macro_rules! endings {
     ($($name:ident)*) => {
         mod ending { $(#[test] fn $name() { super::$name(); })* }
@@ -821,4 +872,6 @@
     many_given_up_together
     slow_reader_at_the_end
     time_left_where_the_connection_comes_late
+    room_that_others_hold
+    half_a_message_behind_an_open_call
 }
--- a/crates/fernslip/src/facade.rs
+++ b/crates/fernslip/src/facade.rs
@@ -173,6 +173,8 @@
     group: u64,
     sent: u32,
     over: bool,
+    /// What it asks for was purged since its attempt was decided on.
+    outdated: bool,
     decided: Option<Decision>,
     waiter: Option<Arc<dyn Waiter>>,
     called_off: Option<Arc<AtomicBool>>,
@@ -181,7 +183,16 @@
 impl Open {
     fn new(request: &Request) -> Open {
         let (object, group) = (request.object, request.group);
-        Open { object, group, sent: 0, over: false, decided: None, waiter: None, called_off: None }
+        Open {
+            object,
+            group,
+            sent: 0,
+            over: false,
+            outdated: false,
+            decided: None,
+            waiter: None,
+            called_off: None,
+        }
     }
 }
 
@@ -246,7 +257,7 @@
     /// Takes a request and tells what to do with it; waits where the module holds it.
     pub fn pick(&self, now_ms: f64, request: Request) -> Decision {
         let id = request.id;
-        {
+        let effects = {
             let mut inner = self.lock();
             // An id that is open already names another request: this one can't be told from it. Guards against
             // a client that reuses ids; without it the first would lose its answer.
@@ -254,23 +265,26 @@
                 return Decision::Refuse { retry_after_ms: 0.0 };
             }
             inner.open.insert(id, Open::new(&request));
-        }
-        self.feed(now_ms, Event::Request(request));
+            inner.handle(now_ms, Event::Request(request))
+        };
+        self.carry_out(effects);
         self.decided(id)
     }
 
     /// Tells how an attempt ended and what to do with its request now; waits where the module holds it.
     pub fn report(&self, now_ms: f64, ended: Ended) -> Decision {
         let Ended { id, attempt, cache, ending, elapsed_ms, detail, fill_wait_ms, holds } = ended;
-        let over = {
+        let effects = {
             let mut inner = self.lock();
             let Some(open) = inner.open.get_mut(&id) else { return Decision::Over };
             open.over |= ending == Ending::Completed;
             open.called_off = None;
-            open.over
+            let over = open.over;
+            let outcome =
+                Outcome { id, attempt, cache, ending, elapsed_ms, over, detail, fill_wait_ms, holds };
+            inner.handle(now_ms, Event::Outcome(outcome))
         };
-        let outcome = Outcome { id, attempt, cache, ending, elapsed_ms, over, detail, fill_wait_ms, holds };
-        self.feed(now_ms, Event::Outcome(outcome));
+        self.carry_out(effects);
         self.decided(id)
     }
 
@@ -278,42 +292,64 @@
     /// request, for a limit of its own. Nothing is owed for it here any more.
     pub fn stop(&self, now_ms: f64, attempt: &Attempt) {
         let Attempt { id, number, cache, .. } = attempt;
-        {
+        let effects = {
             let mut inner = self.lock();
             if inner.open.remove(id).is_none() {
                 return;
             }
-        }
-        let outcome = Outcome {
-            id: *id,
-            attempt: *number,
-            cache: cache.clone(),
-            ending: Ending::Retracted,
-            elapsed_ms: 0.0,
-            over: true,
-            detail: 0,
-            fill_wait_ms: 0.0,
-            holds: None,
+            let outcome = Outcome {
+                id: *id,
+                attempt: *number,
+                cache: cache.clone(),
+                ending: Ending::Retracted,
+                elapsed_ms: 0.0,
+                over: true,
+                detail: 0,
+                fill_wait_ms: 0.0,
+                holds: None,
+            };
+            inner.handle(now_ms, Event::Outcome(outcome))
         };
-        self.feed(now_ms, Event::Outcome(outcome));
+        self.carry_out(effects);
     }
 
     /// The client of a request left: nothing is owed for it.
     pub fn gone(&self, now_ms: f64, id: RequestId) {
-        let waiter = match self.lock().open.get_mut(&id) {
-            Some(open) if !open.over => {
-                open.over = true;
-                open.decided = Some(Decision::Over);
-                open.waiter.take()
-            }
-            _ => return,
+        let (waiter, effects) = {
+            let mut inner = self.lock();
+            let Some(open) = inner.open.get_mut(&id).filter(|open| !open.over) else { return };
+            open.over = true;
+            open.decided = Some(Decision::Over);
+            let waiter = open.waiter.take();
+            (waiter, inner.handle(now_ms, Event::Withdrawn { id }))
         };
-        self.feed(now_ms, Event::Withdrawn { id });
+        self.carry_out(effects);
         if let Some(w) = waiter {
             w.wake();
         }
     }
 
+    /// Whether an attempt is still wanted: its request is open, and nothing that it asks for was purged since it was
+    /// decided on. To be asked again after the attempt is where [`Host::purged`] finds it, and when its first byte is about
+    /// to be written.
+    pub fn is_wanted(&self, attempt: &Attempt) -> bool {
+        let inner = self.lock();
+        inner.open.get(&attempt.id).is_some_and(|open| !open.over && !open.outdated)
+    }
+
+    /// Whether an attempt's cache and its source are in service; to be asked as [`Dispatcher::is_wanted`], for the sake of
+    /// [`Host::draining`].
+    pub fn is_served(&self, attempt: &Attempt) -> bool {
+        let inner = self.lock();
+        let serves = |cache: &CacheId| inner.hand.serves(cache);
+        serves(&attempt.cache) && attempt.source.as_ref().is_none_or(serves)
+    }
+
+    /// Since when a cache is not to be sent anything new, in the time of the events; `None`: it may be.
+    pub fn out_of_service_since(&self, cache: &CacheId) -> Option<f64> {
+        self.lock().hand.out_of_service_since(cache)
+    }
+
     /// Runs what is due; when the next is, if any.
     pub fn tick(&self, now_ms: f64) -> Option<f64> {
         loop {
@@ -332,10 +368,14 @@
 
     /// News of the caches. Those out by hand are draining in it.
     pub fn list(&self, now_ms: f64, kind: ListKind, mut entries: Vec<Entry>) {
-        self.lock().hand.rewrite(kind, &mut entries);
-        let drain = |e: &&Entry| e.phase != Phase::In;
-        let draining: Vec<CacheId> = entries.iter().filter(drain).map(|e| e.cache.clone()).collect();
-        self.feed(now_ms, Event::Fleet { kind, entries });
+        let (draining, effects) = {
+            let mut inner = self.lock();
+            inner.hand.rewrite(now_ms, kind, &mut entries);
+            let drain = |e: &&Entry| e.phase != Phase::In;
+            let draining: Vec<CacheId> = entries.iter().filter(drain).map(|e| e.cache.clone()).collect();
+            (draining, inner.handle(now_ms, Event::Fleet { kind, entries }))
+        };
+        self.carry_out(effects);
         if !draining.is_empty() {
             self.host.draining(&draining);
         }
@@ -344,8 +384,12 @@
     /// Takes a listed cache out by hand: from now on it is draining for this router, whatever the list says,
     /// until [`Dispatcher::include`]. Whether a cache of that id is listed; `false` changes nothing.
     pub fn exclude(&self, now_ms: f64, cache: &CacheId) -> bool {
-        let Some(entry) = self.lock().hand.exclude(cache) else { return false };
-        self.feed(now_ms, Event::Fleet { kind: ListKind::Delta, entries: vec![entry] });
+        let effects = {
+            let mut inner = self.lock();
+            let Some(entry) = inner.hand.exclude(now_ms, cache) else { return false };
+            inner.handle(now_ms, Event::Fleet { kind: ListKind::Delta, entries: vec![entry] })
+        };
+        self.carry_out(effects);
         self.host.draining(std::slice::from_ref(cache));
         true
     }
@@ -353,13 +397,25 @@
     /// Puts a cache back that was out by hand, as the list last gave it. Whether the id is listed or was out;
     /// `false` changes nothing.
     pub fn include(&self, now_ms: f64, cache: &CacheId) -> bool {
-        let Some(entry) = self.lock().hand.include(cache) else { return false };
-        if let Some(entry) = entry {
-            self.feed(now_ms, Event::Fleet { kind: ListKind::Delta, entries: vec![entry] });
-        }
+        let effects = {
+            let mut inner = self.lock();
+            match inner.hand.include(cache) {
+                None => return false,
+                Some(None) => Vec::new(),
+                Some(Some(entry)) => {
+                    inner.handle(now_ms, Event::Fleet { kind: ListKind::Delta, entries: vec![entry] })
+                }
+            }
+        };
+        self.carry_out(effects);
         true
     }
 
+    /// Whether a cache of that id is listed, or out by hand.
+    pub fn knows(&self, cache: &CacheId) -> bool {
+        self.lock().hand.knows(cache)
+    }
+
     /// Takes caches out by hand before they are listed: the set that a front kept across its restart.
     pub fn restore(&self, caches: impl IntoIterator<Item = CacheId>) {
         self.lock().hand.restore(caches);
@@ -378,11 +434,18 @@
 
     /// An object, or with `None` a whole group, was purged so long ago.
     pub fn purged(&self, now_ms: f64, object: Option<ObjectId>, group: u64, age_ms: f64) {
-        self.feed(now_ms, Event::Purged { object, group, age_ms });
-        let stale = |o: &Open| object.map_or(o.group == group, |object| o.object == object);
-        let mut ids: Vec<RequestId> =
-            self.lock().open.iter().filter(|(_, o)| stale(o)).map(|(id, _)| *id).collect();
-        ids.sort_unstable();
+        let (ids, effects) = {
+            let mut inner = self.lock();
+            let concerns = |o: &Open| object.map_or(o.group == group, |object| o.object == object);
+            let mut ids = Vec::new();
+            for (id, open) in inner.open.iter_mut().filter(|(_, open)| concerns(open)) {
+                open.outdated = true;
+                ids.push(*id);
+            }
+            ids.sort_unstable();
+            (ids, inner.handle(now_ms, Event::Purged { object, group, age_ms }))
+        };
+        self.carry_out(effects);
         if !ids.is_empty() {
             self.host.purged(&ids);
         }
@@ -414,15 +477,12 @@
     }
 
     fn feed(&self, now_ms: f64, event: Event) {
-        let mut actions = Vec::new();
-        let mut effects = Vec::new();
-        {
-            let mut inner = self.lock();
-            inner.router.handle(now_ms, event, &mut actions);
-            for a in actions {
-                inner.carry_out(now_ms, a, &mut effects);
-            }
-        }
+        let effects = self.lock().handle(now_ms, event);
+        self.carry_out(effects);
+    }
+
+    /// Does, without the lock, what the module wants of the host.
+    fn carry_out(&self, effects: Vec<Effect>) {
         for e in effects {
             match e {
                 Effect::Wake(w) => w.wake(),
@@ -456,6 +516,17 @@
 }
 
 impl Inner {
+    /// Feeds an event to the module under the lock that the caller holds, so that nothing comes between what the caller
+    /// noted and what the module decides; what is to be done without the lock.
+    fn handle(&mut self, now_ms: f64, event: Event) -> Vec<Effect> {
+        let (mut actions, mut effects) = (Vec::new(), Vec::new());
+        self.router.handle(now_ms, event, &mut actions);
+        for action in actions {
+            self.carry_out(now_ms, action, &mut effects);
+        }
+        effects
+    }
+
     fn decide(&mut self, id: RequestId, decision: Decision, effects: &mut Vec<Effect>) {
         if let Some(open) = self.open.get_mut(&id).filter(|o| !o.over) {
             open.decided = Some(decision);
@@ -469,6 +540,7 @@
                 let Some(open) = self.open.get_mut(&id) else { return };
                 let number = open.sent;
                 open.sent += 1;
+                open.outdated = false;
                 let called_off = Arc::new(AtomicBool::new(false));
                 open.called_off = Some(called_off.clone());
                 let source = Some(source).filter(|s| *s != cache);
--- a/crates/fernslip/src/hand.rs
+++ b/crates/fernslip/src/hand.rs
@@ -8,19 +8,28 @@
 use crate::api::{CacheId, Entry, ListKind, Phase};
 use std::collections::{BTreeSet, HashMap};
 
+/// For how long it is remembered since when a node is out of service, in milliseconds: longer than any attempt waits.
+const REMEMBERED_MS: f64 = 3_600_000.0;
+
 /// The nodes out by hand, and what the list last said of each node.
 #[derive(Default)]
 pub struct Hand {
     out: BTreeSet<CacheId>,
     listed: HashMap<CacheId, Entry>,
+    /// Since when nothing new is to go to a node, in the time of the events; nodes in service are not in it.
+    since: HashMap<CacheId, f64>,
 }
 
 impl Hand {
     /// Takes a list in and rewrites it: nodes out by hand are draining in it.
-    pub fn rewrite(&mut self, kind: ListKind, entries: &mut [Entry]) {
+    pub fn rewrite(&mut self, now_ms: f64, kind: ListKind, entries: &mut [Entry]) {
         match kind {
             ListKind::Failed => return,
-            ListKind::Full | ListKind::Cached => self.listed.clear(),
+            ListKind::Full | ListKind::Cached => {
+                for id in std::mem::take(&mut self.listed).into_keys() {
+                    self.since.entry(id).or_insert(now_ms);
+                }
+            }
             ListKind::Delta => {}
         }
         for e in entries.iter_mut() {
@@ -32,13 +41,35 @@
             if e.phase == Phase::In && self.out.contains(&e.cache) {
                 e.phase = Phase::Draining;
             }
+            if e.phase == Phase::In {
+                self.since.remove(&e.cache);
+            } else {
+                self.since.entry(e.cache.clone()).or_insert(now_ms);
+            }
         }
+        self.since.retain(|_, since| now_ms - *since < REMEMBERED_MS);
+    }
+
+    /// Whether something new may go to that node.
+    pub fn serves(&self, id: &CacheId) -> bool {
+        self.listed.get(id).is_some_and(|e| e.phase == Phase::In) && !self.out.contains(id)
+    }
+
+    /// Since when nothing new is to go to that node; `None`: it may, or it is too long ago to be remembered.
+    pub fn out_of_service_since(&self, id: &CacheId) -> Option<f64> {
+        self.since.get(id).copied()
+    }
+
+    /// Whether a node of that id is listed, or out by hand.
+    pub fn knows(&self, id: &CacheId) -> bool {
+        self.listed.contains_key(id) || self.out.contains(id)
     }
 
     /// Takes a node out; the entry that tells the decisions so, or `None` where no node of that id is listed.
-    pub fn exclude(&mut self, id: &CacheId) -> Option<Entry> {
+    pub fn exclude(&mut self, now_ms: f64, id: &CacheId) -> Option<Entry> {
         let entry = self.listed.get(id)?;
         self.out.insert(id.clone());
+        self.since.entry(id.clone()).or_insert(now_ms);
         let phase = if entry.phase == Phase::In { Phase::Draining } else { entry.phase };
         Some(Entry { phase, ..entry.clone() })
     }
@@ -47,6 +78,9 @@
     /// A node that is out and no longer listed is put back all the same, with no entry to tell.
     pub fn include(&mut self, id: &CacheId) -> Option<Option<Entry>> {
         let was_out = self.out.remove(id);
+        if self.serves(id) {
+            self.since.remove(id);
+        }
         match self.listed.get(id) {
             Some(e) => Some(Some(e.clone())),
             None if was_out => Some(None),
@@ -87,13 +121,13 @@
     fn a_node_out_by_hand_stays_draining_whatever_the_list_says() {
         let mut hand = Hand::default();
         let mut list = vec![entry("a", Phase::In), entry("b", Phase::In)];
-        hand.rewrite(ListKind::Full, &mut list);
-        assert_eq!(hand.exclude(&"a".into()).map(|e| e.phase), Some(Phase::Draining));
+        hand.rewrite(0.0, ListKind::Full, &mut list);
+        assert_eq!(hand.exclude(0.0, &"a".into()).map(|e| e.phase), Some(Phase::Draining));
         let mut again = vec![entry("a", Phase::In)];
-        hand.rewrite(ListKind::Delta, &mut again);
+        hand.rewrite(0.0, ListKind::Delta, &mut again);
         assert_eq!(again[0].phase, Phase::Draining);
         let mut full = vec![entry("a", Phase::In), entry("b", Phase::In)];
-        hand.rewrite(ListKind::Full, &mut full);
+        hand.rewrite(0.0, ListKind::Full, &mut full);
         assert_eq!((full[0].phase, full[1].phase), (Phase::Draining, Phase::In));
         assert_eq!((hand.listed(), hand.avoided()), (2, 1));
     }
@@ -101,14 +135,14 @@
     #[test]
     fn two_out_need_one_back_and_unknown_ids_get_a_no() {
         let mut hand = Hand::default();
-        hand.rewrite(ListKind::Full, &mut [entry("a", Phase::In)]);
-        assert!(hand.exclude(&"a".into()).is_some());
-        assert!(hand.exclude(&"a".into()).is_some());
-        assert!(hand.exclude(&"nobody".into()).is_none());
+        hand.rewrite(0.0, ListKind::Full, &mut [entry("a", Phase::In)]);
+        assert!(hand.exclude(0.0, &"a".into()).is_some());
+        assert!(hand.exclude(0.0, &"a".into()).is_some());
+        assert!(hand.exclude(0.0, &"nobody".into()).is_none());
         assert!(hand.include(&"nobody".into()).is_none());
         assert_eq!(hand.include(&"a".into()).flatten().map(|e| e.phase), Some(Phase::In));
         let mut list = [entry("a", Phase::In)];
-        hand.rewrite(ListKind::Delta, &mut list);
+        hand.rewrite(0.0, ListKind::Delta, &mut list);
         assert_eq!(list[0].phase, Phase::In);
     }
 
@@ -117,7 +151,7 @@
         let mut hand = Hand::default();
         hand.restore(["a".into()]);
         let mut list = [entry("a", Phase::In)];
-        hand.rewrite(ListKind::Full, &mut list);
+        hand.rewrite(0.0, ListKind::Full, &mut list);
         assert_eq!(list[0].phase, Phase::Draining);
         assert_eq!(hand.out().count(), 1);
     }
@@ -125,8 +159,8 @@
     #[test]
     fn a_failed_list_changes_nothing() {
         let mut hand = Hand::default();
-        hand.rewrite(ListKind::Full, &mut [entry("a", Phase::In)]);
-        hand.rewrite(ListKind::Failed, &mut []);
+        hand.rewrite(0.0, ListKind::Full, &mut [entry("a", Phase::In)]);
+        hand.rewrite(0.0, ListKind::Failed, &mut []);
         assert_eq!(hand.listed(), 1);
     }
 }
--- a/crates/front/src/boxes/lanes.rs
+++ b/crates/front/src/boxes/lanes.rs
@@ -28,6 +28,8 @@
 #[derive(Default)]
 pub struct Caller {
     left: AtomicBool,
+    /// When that was noticed.
+    left_at: Mutex<Option<Instant>>,
     /// Where the request waits for a place in its pool.
     waits: Mutex<Option<Arc<Blocker>>>,
 }
@@ -35,6 +37,7 @@
 impl Caller {
     /// They do not wait any more; a wait for a place ends at once.
     pub fn leave(&self) {
+        lock(&self.left_at).get_or_insert_with(Instant::now);
         self.left.store(true, Ordering::Release);
         if let Some(blocker) = lock(&self.waits).take() {
             blocker.unpark();
@@ -45,6 +48,11 @@
     pub fn has_left(&self) -> bool {
         self.left.load(Ordering::Acquire)
     }
+
+    /// When it was noticed that they have left; `None`: they have not.
+    pub fn left_at(&self) -> Option<Instant> {
+        *lock(&self.left_at)
+    }
 }
 
 /// Where a request waits for a place.
@@ -124,6 +132,11 @@
 }
 
 impl Lane {
+    /// Whether a pool stands before the decisions.
+    pub fn has_pool(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// Feeds the pool and carries out what it says; what is the caller's to see comes back.
     fn feed(&self, clock: &Clock, event: Event) -> Vec<Action> {
         let Some(held) = &self.held else { return Vec::new() };
--- a/crates/front/src/boxes/upstream.rs
+++ b/crates/front/src/boxes/upstream.rs
@@ -1,11 +1,11 @@
 //! Connections to cache nodes, parents and the origin: few for each, many requests on one.
 
-use crate::call::Ask;
-use crate::lanes::Caller;
-use crate::link::{lock, Link};
+use crate::invariants::{Invariant, Invariants};
+use crate::link::{lock, Departure, Gate, Link};
 use crate::listen::is_out_of_descriptors;
 use crate::log::Reason;
 use crate::resp;
+use crate::sending::{Denied, Sending, Times};
 use crate::spawn::spawn;
 use crate::steps;
 use fernslip::facade::{Attempt, Waiter};
@@ -35,6 +35,9 @@
 /// After a request was given up the next attempt begins no sooner than the word can be there: as long as the connection
 /// took to come up, there and back, and between these.
 const WORD: [Duration; 2] = [Duration::from_millis(1), Duration::from_millis(4)];
+/// A request that waited less than this for its first byte goes out as it was queued: what it tells of the time left is
+/// right to that much.
+const FRESH: Duration = Duration::from_millis(10);
 /// An answer that has begun and of which nothing more comes for so long never ends; longer than a lost
 /// packet takes to be sent again.
 const STALL: Duration = Duration::from_millis(250);
@@ -74,11 +77,16 @@
     pub holds: Option<f64>,
     /// What came, where it was served.
     pub reply: Option<Reply>,
+    /// When its first byte was written; `None`: it did not begin.
+    pub begun: Option<Instant>,
+    /// Its last byte was written.
+    pub whole: bool,
 }
 
 impl End {
     fn without_answer(ending: Ending) -> End {
-        End { ending, detail: 0, fill_wait_ms: 0.0, holds: None, reply: None }
+        let (detail, fill_wait_ms, holds, reply) = (0, 0.0, None, None);
+        End { ending, detail, fill_wait_ms, holds, reply, begun: None, whole: false }
     }
 
     fn of(a: &resp::Answer<'_>) -> Option<End> {
@@ -102,6 +110,8 @@
             fill_wait_ms: a.field("lag").and_then(|v| v.parse().ok()).unwrap_or(0.0),
             holds: HOLDS.iter().find_map(|name| a.report(name)),
             reply: (ending == Ending::Completed).then_some(Reply { current, body }),
+            begun: None,
+            whole: false,
         })
     }
 }
@@ -119,15 +129,6 @@
     }
 }
 
-/// When an attempt ends and, where that matters, has begun.
-#[derive(Clone, Copy, Debug)]
-pub struct Times {
-    /// It ends by then.
-    pub deadline: Instant,
-    /// Its first byte is written by then, or it is taken back; `None`: whenever its connection is up.
-    pub begin_by: Option<Instant>,
-}
-
 /// Where the coroutine of an attempt waits for its end.
 struct Slot {
     blocker: Arc<Blocker>,
@@ -140,10 +141,50 @@
     number: u32,
     /// It is not to begin any more; what has begun goes on.
     withdrawn: AtomicBool,
+    /// Whoever decided on it, asked before its first byte.
+    sending: Arc<dyn Sending>,
+    /// How far it went.
+    progress: Mutex<Progress>,
+}
+
+/// How far an attempt went on its connection.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    /// It was kept from beginning.
+    denied: Option<Denied>,
+    /// When its first byte was written.
+    begun: Option<Instant>,
+    /// Its last byte was written.
+    whole: bool,
+}
+
+impl Gate for Slot {
+    fn before_first_byte(&self, queued: Instant) -> Departure {
+        let now = Instant::now();
+        let withdrawn = self.withdrawn.load(Ordering::Acquire);
+        let allowed = if withdrawn { Err(Denied::Outdated) } else { self.sending.check(now) };
+        if let Err(why) = allowed {
+            lock(&self.progress).denied = Some(why);
+            self.blocker.unpark();
+            return Departure::Never;
+        }
+        match now.saturating_duration_since(queued) < FRESH {
+            true => Departure::AsQueued,
+            false => Departure::Instead(self.sending.bytes(now)),
+        }
+    }
+
+    fn begun(&self) {
+        lock(&self.progress).begun = Some(Instant::now());
+    }
+
+    fn written(&self) {
+        lock(&self.progress).whole = true;
+    }
 }
 
 impl Slot {
-    fn new(a: &Attempt, known: Option<String>) -> Slot {
+    fn new(a: &Attempt, known: Option<String>, sending: Arc<dyn Sending>) -> Slot {
         Slot {
             blocker: Blocker::current(),
             end: Mutex::new(None),
@@ -153,6 +194,8 @@
             source: a.source.clone(),
             number: a.number,
             withdrawn: AtomicBool::new(false),
+            sending,
+            progress: Mutex::default(),
         }
     }
 
@@ -346,17 +389,19 @@
     /// By the request: it has one attempt out at a time.
     attempts: Mutex<HashMap<RequestId, Arc<Slot>>>,
     connections: Arc<AtomicUsize>,
+    invariants: Arc<Invariants>,
 }
 
 impl Upstream {
-    /// No machine is known yet.
-    pub fn new(limits: Limits) -> Upstream {
+    /// No machine is known yet; what must hold is counted there.
+    pub fn new(limits: Limits, invariants: Arc<Invariants>) -> Upstream {
         Upstream {
             limits,
             nodes: Mutex::default(),
             leaving: Mutex::default(),
             attempts: Mutex::default(),
             connections: Arc::default(),
+            invariants,
         }
     }
 
@@ -424,44 +469,49 @@
         (lock(&self.attempts).len(), self.connections.load(Ordering::Relaxed))
     }
 
-    /// Makes an attempt and waits for its end, within `times`.
-    pub fn run(&self, a: &Attempt, ask: &Ask, fields: &str, times: Times, caller: &Caller) -> End {
-        let slot = Arc::new(Slot::new(a, ask.known.clone()));
-        lock(&self.attempts).insert(a.id, slot.clone());
-        let bytes = resp::ask(&ask.trace, fields, &ask.body);
-        let end = self.wait(a, &slot, &ask.trace, bytes, times, caller);
-        lock(&self.attempts).remove(&a.id);
-        end
-    }
-
-    fn wait(
+    /// Makes an attempt and waits for its end, within `times`; `trace` names its request at the node, `known` the client's
+    /// own copy. An attempt that still waits, and may not begin any more when it could, is not made.
+    pub fn run(
         &self,
         a: &Attempt,
-        slot: &Arc<Slot>,
         trace: &str,
-        ask: Vec<u8>,
+        known: Option<String>,
         times: Times,
-        caller: &Caller,
+        sending: Arc<dyn Sending>,
     ) -> End {
+        let slot = Arc::new(Slot::new(a, known, sending));
+        let other = lock(&self.attempts).insert(a.id, slot.clone());
+        self.invariants.check(Invariant::OneAttempt, other.is_none(), || {
+            format!("trace={trace} n={} while another is out", a.number)
+        });
+        let end = self.wait(a, &slot, trace, times);
+        lock(&self.attempts).remove(&a.id);
+        let progress = *lock(&slot.progress);
+        End { begun: progress.begun, whole: progress.whole, ..end }
+    }
+
+    fn wait(&self, a: &Attempt, slot: &Arc<Slot>, trace: &str, times: Times) -> End {
         let mut times = times;
-        // Asked last of all: nothing yields from here to the first byte, where the connection is up.
-        if a.called_off.load(Ordering::Acquire) {
-            return End::without_answer(Ending::Recalled);
-        }
-        if caller.has_left() {
-            return End::without_answer(Ending::Superseded);
+        let now = Instant::now();
+        if let Err(why) = slot.sending.check(now) {
+            return End::without_answer(why.ending());
         }
         let conn = match self.checkout(a, slot) {
             Ok(conn) => conn,
             Err(ending) => return End::without_answer(ending),
         };
-        if conn.link.send(ask, Some(a.id.0)).is_none() {
+        if conn.link.send_through(slot.sending.bytes(now), a.id.0, slot.clone()).is_none() {
             conn.end(a.id, End::without_answer(Ending::Retracted));
         }
         loop {
             if let Some(end) = lock(&slot.end).take() {
                 return end;
             }
+            let denied = lock(&slot.progress).denied;
+            if let Some(why) = denied {
+                conn.end(a.id, End::without_answer(why.ending()));
+                continue;
+            }
             let now = Instant::now();
             let left = times.deadline.saturating_duration_since(now);
             // Whether it has begun is asked once: what has begun goes on.
--- a/crates/front/src/boxes/upstream/tests.rs
+++ b/crates/front/src/boxes/upstream/tests.rs
@@ -1,11 +1,24 @@
 use super::*;
 
+/// An attempt that may always begin.
+struct Always;
+
+impl Sending for Always {
+    fn check(&self, _: Instant) -> Result<(), Denied> {
+        Ok(())
+    }
+
+    fn bytes(&self, _: Instant) -> Vec<u8> {
+        resp::ask("0000000000000001", "cls=x", b"")
+    }
+}
+
 /// Guards a request that is asked again against a second copy of the answer that sent it on: the copy ended
 /// the next attempt, on the same connection.
 #[test]
 fn an_id_that_was_answered_is_not_used_again_on_its_connection() {
     let conn = Conn::default();
-    let slot = Arc::new(Slot::new(&attempt(0), None));
+    let slot = Arc::new(Slot::new(&attempt(0), None, Arc::new(Always)));
     let ids = [Ending::LookupMiss, Ending::Saturated, Ending::Errored].map(|e| (RequestId(e as u64), e));
     for (id, ending) in ids {
         assert!(conn.admit(id, &slot, 32));
@@ -19,7 +32,7 @@
 #[test]
 fn a_connection_that_is_told_to_end_takes_nothing_new() {
     let conn = Conn::default();
-    let slot = Arc::new(Slot::new(&attempt(0), None));
+    let slot = Arc::new(Slot::new(&attempt(0), None, Arc::new(Always)));
     assert!(conn.admit(RequestId(1), &slot, 32));
     conn.link.close(Reason::Stuck);
     assert!(!conn.admit(RequestId(2), &slot, 32));
@@ -32,7 +45,7 @@
     let addr = listener.local_addr().expect("bound");
     let done = may::go!(move || {
         conn.link.up(TcpStream::connect(addr).expect("it listens"));
-        let slots = [1, 2].map(|n| (RequestId(n), Arc::new(Slot::new(&attempt(0), None))));
+        let slots = [1, 2].map(|n| (RequestId(n), Arc::new(Slot::new(&attempt(0), None, Arc::new(Always)))));
         for (id, slot) in &slots {
             conn.admit(*id, slot, 32);
         }
@@ -55,7 +68,7 @@
     let done = may::go!(move || {
         conn.link.up(TcpStream::connect(addr).expect("it listens"));
         lock(&conn.open).handshake = Duration::from_millis(3);
-        let slot = Arc::new(Slot::new(&attempt(1), None));
+        let slot = Arc::new(Slot::new(&attempt(1), None, Arc::new(Always)));
         conn.admit(RequestId(1), &slot, 32);
         conn.link.send(b"whole".to_vec(), Some(1));
         let began = Instant::now();
@@ -77,11 +90,11 @@
         idle: Duration::from_secs(9),
         connections: 16, // half of them for machines to come
     };
-    let upstream = Arc::new(Upstream::new(limits));
+    let upstream = Arc::new(Upstream::new(limits, Arc::default()));
     let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     upstream.know("s-1".into(), silent.local_addr().expect("bound"), 0.0);
     let done = may::go!(move || {
-        let slot = Arc::new(Slot::new(&attempt(0), None));
+        let slot = Arc::new(Slot::new(&attempt(0), None, Arc::new(Always)));
         let took: Vec<_> = (0..24)
             .map(|i| upstream.checkout(&attempt(i), &slot).map(|c| Arc::as_ptr(&c) as usize).ok())
             .collect();
@@ -123,7 +136,7 @@
         idle: Duration::from_secs(9),
         connections: 4,
     };
-    let upstream = Arc::new(Upstream::new(limits));
+    let upstream = Arc::new(Upstream::new(limits, Arc::default()));
     // A machine that takes connections and says nothing.
     let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     upstream.know("s-1".into(), silent.local_addr().expect("bound"), 0.0);
@@ -133,9 +146,8 @@
             may::go!(move || {
                 let a = attempt(i);
                 let deadline = Instant::now() + Duration::from_micros(30_000 + 137 * i);
-                let ask = Ask { trace: format!("{i:016x}"), ..Ask::default() };
                 let times = Times { deadline, begin_by: None };
-                upstream.run(&a, &ask, "cls=x", times, &Caller::default()).ending
+                upstream.run(&a, &format!("{i:016x}"), None, times, Arc::new(Always)).ending
             })
         })
         .collect();
@@ -155,7 +167,7 @@
         idle: Duration::from_secs(9),
         connections: 4,
     };
-    let upstream = Arc::new(Upstream::new(limits));
+    let upstream = Arc::new(Upstream::new(limits, Arc::default()));
     let node = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     upstream.know("s-1".into(), node.local_addr().expect("bound"), 0.0);
     let mut a = attempt(1);
@@ -164,9 +176,8 @@
     let gave_up = Arc::new(Mutex::new(None));
     let at = gave_up.clone();
     let ended = may::go!(move || {
-        let ask = Ask { trace: format!("{:016x}", 1), ..Ask::default() };
         let times = Times { deadline: Instant::now() + Duration::from_secs(30), begin_by: None };
-        let end = by.run(&a, &ask, "cls=x", times, &Caller::default());
+        let end = by.run(&a, &format!("{:016x}", 1), None, times, Arc::new(Always));
         let waited = lock(&at).map(|t: Instant| t.elapsed());
         (end.ending, waited)
     });
--- a/crates/front/src/clients/relay.rs
+++ b/crates/front/src/clients/relay.rs
@@ -1,13 +1,16 @@
 //! A request's life: picked, tried as often as the module says, answered.
 
 use crate::call::Ask;
+use crate::guard::SendGuard;
+use crate::invariants::Invariant;
 use crate::lanes::{Caller, Lane};
-use crate::upstream::{Reply, Times};
+use crate::sending::Times;
+use crate::upstream::Reply;
 use crate::Shared;
-use fernslip::facade::{Attempt, Decision, Ended};
+use fernslip::facade::{Decision, Ended};
 use fernslip::{Effect, Ending, Request};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Of a client's patience, what its request may wait for a place in its pool.
 const WAIT_PART: f64 = 0.5;
@@ -25,41 +28,18 @@
     None,
 }
 
-fn fields(ask: &Ask, a: &Attempt, left_ms: f64) -> String {
-    let mut f = format!(
-        "cls={},item={},chunk={},limit={}",
-        ask.class,
-        ask.item,
-        ask.chunk,
-        (left_ms.floor() as u64).max(1)
-    );
-    if let Some(source) = &a.source {
-        f += &format!(",via={}", source.0);
-    }
-    if a.rank > 0 {
-        f += &format!(",tier={}", a.rank);
-    }
-    // Cut, not rounded: a copy that is a part of a millisecond too old is too old.
-    if a.age_ms > 0.0 {
-        f += &format!(",fresh={}", (a.age_ms.floor() as u64).max(1));
-    }
-    match (a.join, a.renew) {
-        (true, true) => f += ",opts=j+r",
-        (true, false) => f += ",opts=j",
-        (false, true) => f += ",opts=r",
-        (false, false) => {}
-    }
-    if let Some(tag) = &ask.known {
-        f += &format!(",known={tag}");
-    }
-    f
-}
-
 /// Sees a request through to its final answer, or to the moment in which its caller leaves.
-pub fn serve(front: &Shared, lane: &Arc<Lane>, request: Request, ask: &Ask, caller: &Caller) -> Answer {
+pub fn serve(
+    front: &Shared,
+    lane: &Arc<Lane>,
+    request: Request,
+    ask: &Arc<Ask>,
+    caller: &Arc<Caller>,
+) -> Answer {
     let Shared { clock, upstream, lanes, .. } = front;
     let dispatcher = &lane.dispatcher;
     let turned_away = Answer::Refused(lanes.pause_ms());
+    let client_until = Instant::now() + Duration::from_secs_f64(request.budget_ms / 1000.0);
     let Some(_id) = lanes.take(request.id) else { return turned_away };
     // Waiting takes a part of the client's patience only: what is let in late must still be served in time.
     let Some(place) = lane.enter(clock, clock.now() + request.budget_ms * WAIT_PART, caller) else {
@@ -86,15 +66,26 @@
                         false => turned_away,
                     };
                 }
+                // The guard for repeating: the module does not ask for this, and were it to, nothing runs twice.
+                let allowed = !may_have_run || effect != Effect::AtMostOnce;
+                let seen = || format!("trace={} n={} after one that may have run", ask.trace, a.number);
+                if !front.invariants.check(Invariant::RepeatAllowed, allowed, seen) {
+                    dispatcher.stop(clock.now(), &a);
+                    return Answer::Failed;
+                }
                 place.sent(&a);
                 let sent = Instant::now();
                 let deadline = place.deadline(&a, sent, sent + clock.until(a.until_ms));
-                let line = fields(ask, &a, deadline.saturating_duration_since(sent).as_secs_f64() * 1000.0);
                 let begin_by = a.begin_by_ms.is_finite().then(|| sent + clock.until(a.begin_by_ms));
-                let end = upstream.run(&a, ask, &line, Times { deadline, begin_by }, caller);
+                let times = Times { deadline, begin_by };
+                let guard = Arc::new(SendGuard::new(lane, caller, ask, &a, times, client_until));
+                let end = upstream.run(&a, &ask.trace, ask.known.clone(), times, guard.clone());
+                if let Some(begun) = end.begun {
+                    guard.verify(&front.invariants, clock, begun, front.drain_grace_ms);
+                }
                 place.ended(&a, end.ending);
                 may_have_run |= !end.ending.never_ran();
-                if !end.ending.never_ran() {
+                if end.whole {
                     front.figures.sent(ask_class);
                 }
                 if end.ending == Ending::Completed {
--- a/crates/front/src/clients/server.rs
+++ b/crates/front/src/clients/server.rs
@@ -4,6 +4,7 @@
 use crate::buffer::Buffer;
 use crate::call;
 use crate::figures::Outcome;
+use crate::invariants::Invariant;
 use crate::lanes::{Caller, Lane};
 use crate::link::Stream;
 use crate::link::{lock, Link};
@@ -137,14 +138,14 @@
         Client { link: Link::counted(unread), open: Mutex::new(open) }
     }
 
-    fn send(&self, front: &Shared, bytes: Vec<u8>) {
-        if let Some(unread) = self.link.send(bytes, None) {
-            let total = front.server.unread.load(Ordering::Relaxed);
-            // A client that does not read must not cost the others their memory.
-            if unread > MOST_UNREAD || unread > 0 && total > front.server.budget.unread {
-                self.link.close(Reason::SlowReader);
-            }
+    /// Queues an answer; whether the connection took it.
+    fn send(&self, bytes: Vec<u8>) -> bool {
+        let Some(unread) = self.link.send(bytes, None) else { return false };
+        // A client that does not read must not cost the others their memory.
+        if unread > MOST_UNREAD {
+            self.link.close(Reason::SlowReader);
         }
+        true
     }
 
     /// Answers a call unless the client has forgotten it.
@@ -155,32 +156,36 @@
             Answer::Failed => Some(Outcome::Errored),
             Answer::None => None,
         };
+        let served = matches!(answer, Answer::Served(_));
+        let bytes = encode(call, answer);
         let idle = {
+            // Held until the answer is queued: a close that finds no call open finds it owed.
             let mut open = lock(&self.open);
             // Another call may have its number by now, of a client that counts its own way.
             if open.calls.get(&call).is_none_or(|c| !Arc::ptr_eq(&c.caller, caller)) {
                 front.figures.ended(class, None);
                 return;
             }
-            open.calls.remove(&call);
+            let settled = open.calls.remove(&call);
             if open.calls.is_empty() {
                 open.idle_since = Some(Instant::now());
             }
-            open.served |= matches!(answer, Answer::Served(_));
+            open.served |= served;
+            if let Some(bytes) = bytes {
+                let delivered = self.send(bytes);
+                front.invariants.check(
+                    Invariant::AnswerDelivered,
+                    delivered || self.link.is_broken(),
+                    || {
+                        let trace = settled.map_or(0, |c| c.id.0);
+                        format!("trace={trace:016x} answered on a connection that was closed")
+                    },
+                );
+            }
             open.calls.is_empty()
         };
         front.figures.ended(class, outcome);
-        let bytes = match answer {
-            Answer::Served(r) if r.current => rpc::served(call, &[], &[("current", "1")]),
-            Answer::Served(r) => rpc::served(call, &r.body, &[]),
-            Answer::Refused(pause) if pause >= 1.0 => {
-                rpc::error(call, "Shed", &[("pause", &(pause as u64).to_string())])
-            }
-            Answer::Refused(_) => rpc::error(call, "Shed", &[]),
-            Answer::Failed => rpc::error(call, "Fault", &[]),
-            Answer::None => return,
-        };
-        self.send(front, bytes);
+        front.server.keep_room_for_answers();
         // The front is being emptied: a connection closes after its last answer, not only at the next sweep.
         if idle && front.server.ending.load(Ordering::Acquire) {
             self.finish(front, Reason::Shutdown);
@@ -224,20 +229,20 @@
         body: Vec<u8>,
     ) -> Result<(), Reason> {
         if method == "isWell" {
-            self.send(front, rpc::well(number, front.is_well()));
+            self.send(rpc::well(number, front.is_well()));
             return Ok(());
         }
         let (request, ask) = match call::read(&front.server.classes, &method, fields, body) {
             Ok(r) => r,
             Err(why) => {
-                self.send(front, rpc::error(number, "Fault", &[("field", why.field())]));
+                self.send(rpc::error(number, "Fault", &[("field", why.field())]));
                 return Ok(());
             }
         };
         let class = Some(request.class);
         let Some(lane) = front.lanes.route(&ask.class, &ask.item).cloned() else {
             front.figures.count(class, Outcome::Errored);
-            self.send(front, rpc::error(number, "Fault", &[("route", "none")]));
+            self.send(rpc::error(number, "Fault", &[("route", "none")]));
             return Ok(());
         };
         let bytes = ask.body.len();
@@ -245,7 +250,7 @@
         // killed, so what comes on it now is turned away at once instead of being taken and lost with the process.
         if front.server.ending.load(Ordering::Acquire) {
             front.figures.count(class, Outcome::Deferred);
-            self.send(front, rpc::error(number, "Shed", &[("pause", ENDING_PAUSE)]));
+            self.send(rpc::error(number, "Shed", &[("pause", ENDING_PAUSE)]));
             if lock(&self.open).calls.is_empty() {
                 self.finish(front, Reason::Shutdown);
             }
@@ -265,7 +270,7 @@
                 drop(open);
                 front.figures.count(class, Outcome::Deferred);
                 let pause = (front.lanes.pause_ms() as u64).to_string();
-                self.send(front, rpc::error(number, "Shed", &[("pause", &pause)]));
+                self.send(rpc::error(number, "Shed", &[("pause", &pause)]));
                 return Ok(());
             }
             bodies.fetch_add(bytes, Ordering::Relaxed);
@@ -274,7 +279,7 @@
             open.taken += 1;
         }
         front.figures.taken();
-        let (client, front) = (self.clone(), front.clone());
+        let (client, front, ask) = (self.clone(), front.clone(), Arc::new(ask));
         spawn(move || {
             let answer = relay::serve(&front, &lane, request, &ask, &caller);
             front.server.bodies.fetch_sub(bytes, Ordering::Relaxed);
@@ -324,6 +329,11 @@
         Ok(())
     }
 
+    /// How much of the room for answers its end would free: one that has read nothing for longest goes first.
+    fn weight_of_unread(&self, now: Instant) -> Option<(bool, Duration, usize)> {
+        self.link.stuck_for(now).map(|stuck| (true, stuck, self.link.waiting()))
+    }
+
     /// Why it is to be closed, if it is.
     fn overdue(&self, now: Instant) -> Option<Reason> {
         let open = lock(&self.open);
@@ -367,6 +377,20 @@
     }
 }
 
+/// The bytes of a final answer; `None`: none is owed.
+fn encode(call: u32, answer: Answer) -> Option<Vec<u8>> {
+    Some(match answer {
+        Answer::Served(r) if r.current => rpc::served(call, &[], &[("current", "1")]),
+        Answer::Served(r) => rpc::served(call, &r.body, &[]),
+        Answer::Refused(pause) if pause >= 1.0 => {
+            rpc::error(call, "Shed", &[("pause", &(pause as u64).to_string())])
+        }
+        Answer::Refused(_) => rpc::error(call, "Shed", &[]),
+        Answer::Failed => rpc::error(call, "Fault", &[]),
+        Answer::None => return None,
+    })
+}
+
 /// Sets one connection's part of a count; the count.
 fn moved(all: &AtomicUsize, part: &mut usize, now: usize) -> usize {
     let before = std::mem::replace(part, now);
@@ -465,6 +489,25 @@
         }
     }
 
+    /// Ends, for that reason, the connection of the client that weighs most, where there is one: room is short, and whoever
+    /// happens to need some next is not the one at fault.
+    fn relieve(&self, why: Reason, weight: impl Fn(&Client, Instant) -> Option<(bool, Duration, usize)>) {
+        let now = Instant::now();
+        let clients = lock(&self.clients);
+        let able = clients.values().filter(|c| !c.link.is_closing());
+        let heaviest = able.filter_map(|c| weight(c, now).map(|w| (w, c))).max_by_key(|(w, _)| *w);
+        if let Some((_, client)) = heaviest {
+            client.link.close(why);
+        }
+    }
+
+    /// Where answers that wait to be read take more than their room, the client that reads least goes.
+    fn keep_room_for_answers(&self) {
+        if self.unread.load(Ordering::Relaxed) > self.budget.unread {
+            self.relieve(Reason::SlowReader, Client::weight_of_unread);
+        }
+    }
+
     /// Whether there is a place for one more that is held already, be it that of the connection that needs it least.
     /// Guards the clients that come against those that asked once and stay.
     fn make_place(&self, front: &Shared) -> bool {
@@ -513,6 +556,9 @@
         }
         self.held.fetch_sub(1, Ordering::Relaxed);
         let unanswered = left.len();
+        front.invariants.check(Invariant::CloseSettled, !why.is_own_choice() || unanswered == 0, || {
+            format!("{peer} closed as {} with {unanswered} calls open", why.code())
+        });
         tracing::info!(kind = %"client", %peer, reason = %why.code(), taken, unanswered, "end");
         for call in left.into_values() {
             call.gone(front);
@@ -570,12 +616,16 @@
         let all: Vec<Arc<Client>> = lock(&self.clients).values().cloned().collect();
         for client in all {
             let calls = {
+                // Held until the answers are queued, as in `Client::answer`.
                 let mut open = lock(&client.open);
                 open.idle_since.get_or_insert_with(Instant::now);
-                std::mem::take(&mut open.calls)
+                let calls = std::mem::take(&mut open.calls);
+                for number in calls.keys() {
+                    client.send(rpc::error(*number, "Fault", &[]));
+                }
+                calls
             };
-            for (number, call) in calls {
-                client.send(front, rpc::error(number, "Fault", &[]));
+            for call in calls.into_values() {
                 call.gone(front);
             }
         }
--- a/crates/front/src/clients/server/tests.rs
+++ b/crates/front/src/clients/server/tests.rs
@@ -40,3 +40,25 @@
     let (c, now) = client(FRESH / 2, |_| {});
     assert_eq!(c.spare(now), None, "it has just connected");
 }
+
+/// Answers that wait to be read take more than their room: the client that has read nothing for longest goes, and not the one
+/// that is being answered.
+#[test]
+fn who_reads_least_makes_room_for_answers() {
+    let budget = Budget::of(1024, 20);
+    let server = Server::new(budget, Vec::new());
+    let add = |number: u64, bytes: usize| {
+        let client = Arc::new(Client::new(server.unread.clone()));
+        lock(&server.clients).insert(number, client.clone());
+        client.send(vec![0; bytes]);
+        client
+    };
+    let stuck = add(1, budget.unread - 10);
+    std::thread::sleep(Duration::from_millis(5));
+    let reads = add(2, 10);
+    server.keep_room_for_answers();
+    assert!(!stuck.link.is_closing() && !reads.link.is_closing(), "there is room");
+    assert!(reads.send(vec![0; 10]));
+    server.keep_room_for_answers();
+    assert_eq!((stuck.link.is_closing(), reads.link.is_closing()), (true, false));
+}
--- a/crates/front/src/control/ops.rs
+++ b/crates/front/src/control/ops.rs
@@ -158,7 +158,8 @@
         Call::Telemetry => {
             let (listed, avoided) = lanes.first().map_or((0, 0), |l| l.dispatcher.listed());
             let view = front.fleet.as_ref().map_or(String::new(), |f| f.lines());
-            format!("200 telemetry\n{}{view}EOF\n", front.figures.lines(listed, avoided))
+            let figures = front.figures.lines(listed, avoided);
+            format!("200 telemetry\n{figures}{}{view}EOF\n", front.invariants.lines())
         }
         Call::Exclude(id) | Call::Include(id) if lanes.is_empty() => format!("400 unknown {id}\n"),
         Call::Exclude(id) => by_hand(front, &id, true),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,12 +10,13 @@
 pub mod clock;
 pub mod control;
 pub mod ending;
+pub mod invariants;
 pub mod link;
 pub mod log;
 mod spawn;
-mod steps;
+pub mod steps;
 
-pub use boxes::{lanes, resp, upstream};
+pub use boxes::{guard, lanes, resp, sending, upstream};
 pub use clients::{budget, call, figures, listen, msgpack_rpc, relay, server};
 pub use control::{bus, config, excluded, gossip, history, keep, keyfile, ops, peers, plan, reload, view};
 
@@ -30,6 +31,7 @@
 use fernslip_site::Site;
 use fernslip_view::Stand;
 use gossip::Talk;
+use invariants::{Invariant, Invariants, Startup};
 use lanes::{Lanes, Machines};
 use may::sync::Blocker;
 use peers::Peers;
@@ -205,6 +207,10 @@
     leaving: AtomicBool,
     /// What is counted for the operators.
     pub figures: figures::Figures,
+    /// What must hold, and how often it did not.
+    pub invariants: Arc<Invariants>,
+    /// After a node was told to drain, what goes there may still begin for so long, in milliseconds.
+    pub drain_grace_ms: f64,
     /// Where the nodes out by hand are kept for a process that replaces this one.
     pub excluded: excluded::Excluded,
 }
@@ -278,6 +284,7 @@
     let leave = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(signal_hook::consts::SIGTERM, leave.clone()).map_err(StartError::Signal)?;
     let reload = Reload::catch(config.file, site).map_err(StartError::Signal)?;
+    let mut startup = Startup { signals_caught: true, ..Startup::default() };
     let budget = config.budget;
     let limits = Limits {
         streams: config.streams,
@@ -285,7 +292,8 @@
         idle: config.idle,
         connections: budget.upstream,
     };
-    let upstream = Arc::new(Upstream::new(limits));
+    let invariants = Arc::new(Invariants::default());
+    let upstream = Arc::new(Upstream::new(limits, invariants.clone()));
     let peers = match config.peer_listen {
         Some(at) => {
             let p = Peers::bind(at, config.peers, config.peers_all).map_err(|e| StartError::Bind(at, e))?;
@@ -365,9 +373,12 @@
         listed: AtomicBool::new(false),
         leaving: AtomicBool::new(false),
         figures: figures::Figures::new(classes_named),
+        invariants,
+        drain_grace_ms: config.settings.drain_grace_ms,
         excluded,
     });
     ops::restore(&front);
+    startup.exclusions_restored = true;
     front.lanes.begin(&front.clock, &front.upstream);
     front.tell_members();
     if talk.is_some() {
@@ -416,6 +427,7 @@
         let door = ops::open(front.clone(), at, budget.callers).map_err(|e| StartError::Bind(at, e))?;
         tracing::info!("operators' door at {door}");
     }
+    startup.may_serve(&front.invariants);
     tracing::info!("front {} listens on {listen}", config.name);
     let f = front.clone();
     let waker = listener.waker();
@@ -523,6 +535,10 @@
             }
             let held = front.server.held();
             let open: usize = front.lanes.all().iter().map(|l| l.dispatcher.open() + l.waiting()).sum();
+            let settled = held == server::Held::default() && open == 0 && front.upstream.held().0 == 0;
+            front.invariants.check(Invariant::EndSettled, settled, || {
+                format!("{held:?} attempts={} open={open}", front.upstream.held().0)
+            });
             tracing::info!(?held, attempts = front.upstream.held().0, open, "left");
             return;
         }
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -28,11 +28,32 @@
     m.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// What becomes of a message whose first byte is about to be written.
+pub enum Departure {
+    /// It goes out as it was queued.
+    AsQueued,
+    /// It goes out with these bytes instead.
+    Instead(Vec<u8>),
+    /// It does not go out any more, and is dropped.
+    Never,
+}
+
+/// Whoever is asked, last of all, whether a message that waits may go out, and hears how far it went.
+pub trait Gate: Send + Sync {
+    /// The first byte is about to be written; the message was queued at `queued`.
+    fn before_first_byte(&self, queued: Instant) -> Departure;
+    /// The first byte was written.
+    fn begun(&self);
+    /// The last byte was written.
+    fn written(&self);
+}
+
 struct Chunk {
     bytes: Vec<u8>,
     written: usize,
     tag: Option<u64>,
     since: Instant,
+    gate: Option<Arc<dyn Gate>>,
 }
 
 /// Why a connection is to end, and how.
@@ -137,6 +158,15 @@
 
     /// Sends; `tag` names what was sent, for [`Link::retract`]. How many bytes wait now; `None`: the link is over.
     pub fn send(&self, bytes: Vec<u8>, tag: Option<u64>) -> Option<usize> {
+        self.queue(bytes, tag, None)
+    }
+
+    /// Sends what is asked about once more when its first byte is about to be written. Otherwise as [`Link::send`].
+    pub fn send_through(&self, bytes: Vec<u8>, tag: u64, gate: Arc<dyn Gate>) -> Option<usize> {
+        self.queue(bytes, Some(tag), Some(gate))
+    }
+
+    fn queue(&self, bytes: Vec<u8>, tag: Option<u64>, gate: Option<Arc<dyn Gate>>) -> Option<usize> {
         {
             let mut out = lock(&self.out);
             // A graceful close still sends what is owed; what ends at once takes nothing.
@@ -148,7 +178,7 @@
             if out.chunks.is_empty() {
                 out.moved = Instant::now();
             }
-            out.chunks.push_back(Chunk { bytes, written: 0, tag, since: Instant::now() });
+            out.chunks.push_back(Chunk { bytes, written: 0, tag, since: Instant::now(), gate });
         }
         self.flush();
         Some(lock(&self.out).bytes)
@@ -203,8 +233,8 @@
         self.shall_close(Close { why, graceful: false });
     }
 
-    /// Ends the connection gracefully: what has come is looked at once more, what is owed goes out, the sending half
-    /// is shut, and the rest is read and dropped within a bound. Guards the last answer: a close over unread bytes
+    /// Ends the connection gracefully: what is owed goes out, however long the other side takes, and what comes meanwhile is
+    /// taken; then the sending half is shut, and the rest is read and dropped within a bound. Guards the last answer: a close over unread bytes
     /// resets the connection, and what the other side has not read yet is lost with it.
     pub fn finish(&self, why: Reason) {
         self.shall_close(Close { why, graceful: true });
@@ -216,11 +246,22 @@
         out.over || out.broken || out.closing.is_some()
     }
 
+    /// The socket failed, or the connection is to end at once or was ended by the other side: what is sent is lost.
+    pub fn is_broken(&self) -> bool {
+        let out = lock(&self.out);
+        out.broken || out.closing.is_some_and(|c| !c.graceful) || self.wire().is_none()
+    }
+
     /// Nothing waits to be written.
     pub fn is_drained(&self) -> bool {
         lock(&self.out).bytes == 0
     }
 
+    /// Bytes that wait to be written.
+    pub fn waiting(&self) -> usize {
+        lock(&self.out).bytes
+    }
+
     /// For how long bytes have waited and none went out.
     pub fn stuck_for(&self, now: Instant) -> Option<Duration> {
         let out = lock(&self.out);
@@ -238,11 +279,15 @@
     fn flush(&self) {
         let Some(wire) = self.wire() else { return };
         let mut out = lock(&self.out);
-        while let Some(c) = out.chunks.front_mut() {
+        while self.admit_first(&mut out) {
+            let Some(c) = out.chunks.front_mut() else { break };
             match wire.stream.inner().write(&c.bytes[c.written..]) {
                 Ok(n) => {
+                    let gate = c.gate.as_ref();
+                    gate.filter(|_| c.written == 0 && n > 0).inspect(|g| g.begun());
                     c.written += n;
                     let done = c.written == c.bytes.len();
+                    gate.filter(|_| done).inspect(|g| g.written());
                     out.moved = Instant::now();
                     self.less(&mut out, n);
                     if done {
@@ -258,6 +303,38 @@
                 }
             }
         }
+        // A graceful close waits for this.
+        if out.closing.is_some() {
+            wire.waker.wakeup();
+        }
+    }
+
+    /// Asks the gates of what waits whether it goes out, up to the first that does; whether there is one.
+    fn admit_first(&self, out: &mut Out) -> bool {
+        while let Some(c) = out.chunks.front_mut() {
+            let gate = c.gate.as_ref().filter(|_| c.written == 0);
+            let (before, drops) = match gate.map(|g| g.before_first_byte(c.since)) {
+                None | Some(Departure::AsQueued) => return true,
+                Some(Departure::Instead(bytes)) => (std::mem::replace(&mut c.bytes, bytes).len(), false),
+                Some(Departure::Never) => (c.bytes.len(), true),
+            };
+            self.less(out, before);
+            if !drops {
+                let now = out.chunks.front().map_or(0, |c| c.bytes.len());
+                out.bytes += now;
+                self.waiting.fetch_add(now, Ordering::Relaxed);
+                return true;
+            }
+            out.chunks.pop_front();
+        }
+        false
+    }
+
+    /// Where nothing is owed any more, nothing is taken from now on; whether that is so.
+    fn settle(&self) -> bool {
+        let mut out = lock(&self.out);
+        out.over |= out.bytes == 0;
+        out.over
     }
 
     /// Reads and writes until the connection ends; `take` is given the buffer whenever something came, and consumes
@@ -306,6 +383,8 @@
                     let mut out = lock(&self.out);
                     out.closing = out.closing.filter(|c| !c.graceful);
                 }
+                // What is owed goes out first, and what comes meanwhile is still taken.
+                (Ok(()), Some(_)) if !self.settle() => wire.stream.wait_io(),
                 (Ok(()), Some(close)) => {
                     drop(buffer);
                     self.linger(&wire);
@@ -316,27 +395,19 @@
         }
     }
 
-    /// Sends what is owed, shuts the sending half, and reads on without taking anything, within bounds.
+    /// Shuts the sending half, nothing being owed, and reads on without taking anything, within bounds.
     fn linger(&self, wire: &Wire) {
-        {
-            let mut out = lock(&self.out);
-            out.over = true;
-            out.linger_until = Some(Instant::now() + LINGER);
-        }
+        lock(&self.out).linger_until = Some(Instant::now() + LINGER);
+        let _ = wire.stream.inner().shutdown(Shutdown::Write);
         let mut dropped = [0; 4096];
-        let (mut shut, mut left) = (false, LINGER_BYTES);
+        let mut left = LINGER_BYTES;
         loop {
-            self.flush();
             {
                 let out = lock(&self.out);
                 let late = out.linger_until.is_some_and(|at| Instant::now() >= at);
                 if late || out.broken || out.closing.is_some_and(|c| !c.graceful) {
                     return;
                 }
-                if !shut && out.bytes == 0 {
-                    shut = true;
-                    let _ = wire.stream.inner().shutdown(Shutdown::Write);
-                }
             }
             match wire.stream.inner().read(&mut dropped) {
                 Ok(0) => return,
--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -93,6 +93,14 @@
 }
 
 impl Reason {
+    /// Whether the front ends a connection for this of its own accord, with nobody at fault: it then owes nothing there.
+    pub fn is_own_choice(self) -> bool {
+        matches!(
+            self,
+            Reason::Idle | Reason::TooMany | Reason::NoRequest | Reason::Shutdown | Reason::Stalled
+        )
+    }
+
     /// The code in the log.
     pub fn code(self) -> &'static str {
         match self {
--- a/crates/front/src/steps.rs
+++ b/crates/front/src/steps.rs
@@ -1,4 +1,8 @@
-//! Waits of a coroutine, in few lengths.
+//! Waits of a coroutine, in few lengths, that end on the worker.
+//!
+//! May resumes a coroutine whose timer has ended on its timer thread (may 0.3.51, `scheduler.rs`, `timer_event_handler`),
+//! beside the worker. The front rests on one thread for all coroutines: what does not yield is not interrupted. Whoever
+//! comes out of a wait by its timer therefore goes back to the worker's queue first.
 //!
 //! May keeps a list of timers for each length of a wait that it was ever asked for. Past 1,024 of them it frees a list as
 //! soon as that runs empty, and with it the timer that ended last, which the coroutine that it woke still refers to
@@ -21,7 +25,9 @@
 
 /// Waits to be woken, for a part of `left`: who calls it looks whether it is over and calls again.
 pub fn park(blocker: &Blocker, left: Duration) {
-    let _ = blocker.park(Some(step(left)));
+    if blocker.park(Some(step(left))).is_err() {
+        back_to_the_worker();
+    }
 }
 
 /// Waits for that long.
@@ -34,9 +40,15 @@
         }
         #[expect(clippy::disallowed_methods, reason = "the one place that knows of its lengths")]
         may::coroutine::sleep(step(left));
+        back_to_the_worker();
     }
 }
 
+/// Puts the running coroutine into the worker's queue; a plain thread just yields.
+fn back_to_the_worker() {
+    may::coroutine::yield_now();
+}
+
 #[cfg(test)]
 #[path = "steps/tests.rs"]
 mod tests;
--- /dev/null
+++ b/crates/front/tests/steps.rs
@@ -0,0 +1,28 @@
+//! Where coroutines go on after a wait, with one worker as the program has it.
+
+use fernslip_front::steps::{park, sleep};
+use may::sync::Blocker;
+use std::time::Duration;
+
+/// The front rests on one thread for all its coroutines: what does not yield is not interrupted.
+#[test]
+fn who_comes_out_of_a_wait_goes_on_on_the_worker() {
+    may::config().set_workers(1);
+    let thread = || std::thread::current().id();
+    let slept = may::go!(move || {
+        may::coroutine::yield_now();
+        let worker = thread();
+        sleep(Duration::from_millis(3));
+        (worker, thread())
+    });
+    let parked = may::go!(move || {
+        may::coroutine::yield_now();
+        let worker = thread();
+        park(&Blocker::current(), Duration::from_millis(3));
+        (worker, thread())
+    });
+    for (what, ended) in [("sleep", slept.join()), ("park", parked.join())] {
+        let (before, after) = ended.expect("no panic");
+        assert_eq!(before, after, "{what} ended on another thread");
+    }
+}
