Room that some clients hold costs others no answer

Lines at fault: server.rs, Client::take, which ended the connection that needed room for a part of a message, whoever held it; Client::overdue, where a message begun for 2 s ended the connection with calls open on it. Ruled out: refusing only the part (a half-read message can't be answered). Change: Server::relieve ends the connection that weighs most and waits for nothing; a stalled message waits for the answers before it.

--- a/crates/front/src/clients/server.rs
+++ b/crates/front/src/clients/server.rs
@@ -322,13 +322,21 @@
         let left = buffer.data().len();
         open.partial_since = (left > 0).then(|| open.partial_since.unwrap_or(now));
         let total = moved(&front.server.partial, &mut open.partial, left);
+        drop(open);
         // Clients that begin long messages and don't end them must not cost the others their memory.
         if left > 0 && total > front.server.budget.partial {
-            return Err(Reason::NoRoom);
+            front.server.relieve(Reason::NoRoom, Client::weight_of_parts);
         }
         Ok(())
     }
 
+    /// How much of the room for parts of messages its end would free, and whether anybody would lose by that: one that
+    /// waits for an answer is the last to go.
+    fn weight_of_parts(&self, _: Instant) -> Option<(bool, Duration, usize)> {
+        let open = lock(&self.open);
+        (open.partial > 0).then_some((open.calls.is_empty(), Duration::ZERO, open.partial))
+    }
+
     /// How much of the room for answers its end would free: one that has read nothing for longest goes first.
     fn weight_of_unread(&self, now: Instant) -> Option<(bool, Duration, usize)> {
         self.link.stuck_for(now).map(|stuck| (true, stuck, self.link.waiting()))
@@ -339,7 +347,10 @@
         let open = lock(&self.open);
         let over = |at: Option<Instant>, limit| at.is_some_and(|at| now.duration_since(at) >= limit);
         match () {
-            () if over(open.partial_since, SPEAK) => Some(Reason::Stalled),
+            // Who waits for an answer gets it first.
+            () if over(open.partial_since, SPEAK) && open.calls.is_empty() && self.link.is_drained() => {
+                Some(Reason::Stalled)
+            }
             () if !open.spoke && over(open.idle_since, SPEAK) => Some(Reason::NoRequest),
             // A part that has come is the beginning of a call.
             () if open.partial == 0 && over(open.idle_since, IDLE) && self.link.is_drained() => {
