--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`load`]: clients, open-loop.
 //! - [`fronts`]: the processes: started, stopped, killed, watched.
 //! - [`play`]: one scenario with one seed; [`suite`]: many, as rows.
+//! - [`shim`]: faults of the machine under a process: failing system calls, a stepped wall clock.
 //! - [`picture`]: what each front saw over time.
 //!
 //! Front `i` listens on 127.10.x.y and tells others 127.20.x.y, which is the rig's: a datagram to it is sent on to the
@@ -20,6 +21,7 @@
 pub mod picture;
 pub mod play;
 pub mod scenario;
+pub mod shim;
 pub mod suite;
 
 use std::io;
