Clock steps, failing system calls, promises kept before they are answered

Change: wall.rs, failure.rs, excluded.rs and ops.rs by one call at a time, reload.rs; run ignores SIGHUP until the handler stands.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -6,7 +6,7 @@
 use clap::CommandFactory;
 use fernslip_front::keyfile;
 use fernslip_front::log::{install, Format};
-use fernslip_front::Start;
+use fernslip_front::reload::{self, Signals};
 use fernslip_import::{Disk, ImportError, Imported, Options, Verdict};
 use fernslip_site::{Read, Site};
 use std::io::{self, Read as _, Write};
@@ -77,7 +77,12 @@
         LogLevel::Debug => LevelFilter::DEBUG,
         LogLevel::Trace => LevelFilter::TRACE,
     };
-    let start = match Start::read(run.config, run.site) {
+    // Before anything is read: the default of either signal would end the process.
+    let signals = match Signals::catch() {
+        Ok(signals) => signals,
+        Err(why) => return failed(why),
+    };
+    let start = match reload::read(run.config, run.site) {
         Ok(start) => start,
         Err(why) => return failed(why),
     };
@@ -86,7 +91,7 @@
         Ok(guard) => guard,
         Err(why) => return failed(why),
     };
-    match fernslip_front::start(start) {
+    match fernslip_front::start(start, signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => failed(why),
     }
--- a/crates/cli/tests/machine.rs
+++ b/crates/cli/tests/machine.rs
@@ -91,6 +91,30 @@
     (play, listen.to_string())
 }
 
+/// The program on a clients' socket that the platform holds, with that folder.
+fn handed(name: &str, folder: &std::path::Path, socket: &std::net::TcpListener) -> (Play, String) {
+    use command_fds::{CommandFdExt, FdMapping};
+    let admin = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let fd = std::os::fd::OwnedFd::from(socket.try_clone().expect("a copy of the socket"));
+    let folder = folder.to_path_buf();
+    let play = Play::start_among(
+        name,
+        Vec::new(),
+        |c| {
+            c["name"] = "kept".into();
+            c["listen"] = socket.local_addr().expect("bound").to_string().into();
+        },
+        |command| {
+            command
+                .env("TMPDIR", &folder)
+                .env("RELAY_OPS", admin.to_string())
+                .env("RELAY_PASSED_SOCKET", "3");
+            command.fd_mappings(vec![FdMapping { parent_fd: fd, child_fd: 3 }]).expect("descriptor 3");
+        },
+    );
+    (play, admin.to_string())
+}
+
 /// A folder that can't be written: what can't be kept for the next process is not promised.
 fn exclusion_that_cannot_be_kept() {
     let folder = tempfile::tempdir().expect("a folder");
@@ -125,6 +149,98 @@
     assert_eq!(play.step("bus2", "<", ""), "from 1");
 }
 
+/// This machine has no port, buffer or route for a moment: what is asked meanwhile is served once it has, and no node is
+/// held to have failed.
+fn connections_that_this_machine_fails() {
+    let (mut play, _shim, faults) = shimmed("ports", |_| {});
+    let mut client = play.connect();
+    faults.set(Fault::Connect, 1000).expect("a file");
+    client.write_all(&call(1, "contribution-change", 1, 15_000, &[])).expect("the front reads");
+    std::thread::sleep(Duration::from_millis(150));
+    faults.calm().expect("a file");
+    let (trace, _) = play.asked("a");
+    play.answer("a", &trace, "served - done");
+    assert_eq!(said(&mut client), r#"[1,1,null,["b:done",{}]]"#);
+    play.client = None;
+    drop(client);
+    play.signal("TERM");
+    let (_, lines) = play.exit();
+    assert!(!lines.iter().any(|l| l.contains("reason=refused") || l.contains("ejected")), "{lines:?}");
+}
+
+/// Sends, receives, accepts, waits and registrations fail for a moment again and again: every call has its answer, also those
+/// of the last moment.
+fn calls_through_failing_system_calls() {
+    let (mut play, _shim, faults) = shimmed("calls", |_| {});
+    for (fault, rate) in
+        [(Fault::Accept, 300), (Fault::Transfer, 200), (Fault::Wait, 200), (Fault::Register, 100)]
+    {
+        faults.set(fault, rate).expect("a file");
+    }
+    let calls = 200;
+    for n in 1..=calls {
+        let mut client = play.connect();
+        client.write_all(&call(1, READ, n, 15_000, &[])).expect("the front reads");
+        let (trace, _) = play.asked("a");
+        assert_eq!(trace, format!("{n:016x}"));
+        play.answer("a", &trace, "served tell=fill x");
+        assert_eq!(said(&mut client), r#"[1,1,null,["b:x",{}]]"#, "call {n}");
+    }
+    faults.calm().expect("a file");
+    play.signal("TERM");
+    let (code, lines) = play.exit();
+    assert_eq!(code, Some(0), "{lines:?}");
+    assert!(!lines.iter().any(|l| l.contains("violation")), "{lines:?}");
+}
+
+/// Another process of the front takes over: what is excluded or included at the one after the other has started holds at both.
+fn exclusion_while_a_process_replaces_another() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (old, old_admin) = handed("over-old", folder.path(), &socket);
+    let (new, new_admin) = handed("over-new", folder.path(), &socket);
+    for (at, other, line, unhealthy) in [
+        (&old_admin, &new_admin, "exclude a\n", "1"),
+        (&new_admin, &old_admin, "exclude b\n", "2"),
+        (&old_admin, &new_admin, "include a\n", "1"),
+    ] {
+        assert!(ask_admin(at, line).starts_with("200 "), "{line}");
+        let by = Instant::now() + PATIENCE;
+        let wanted = format!("relay.cluster_unhealthy={unhealthy}\n");
+        while !ask_admin(other, "telemetry\n").contains(&wanted) {
+            assert!(Instant::now() < by, "{line:?} does not hold at the other process");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+    drop((old, new));
+}
+
+/// Calls that come at once are each kept: the file has what was answered with yes.
+fn exclusions_at_once() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (play, admin) = with_folder("at-once", folder.path());
+    for _ in 0..10 {
+        for what in ["exclude", "include"] {
+            let callers = ["a", "b", "p"].map(|id| {
+                let (admin, line) = (admin.clone(), format!("{what} {id}\n"));
+                std::thread::spawn(move || ask_admin(&admin, &line))
+            });
+            for caller in callers {
+                assert!(caller.join().expect("no panic").starts_with("200 "));
+            }
+            let files = std::fs::read_dir(folder.path()).expect("a folder").flatten();
+            let kept: Vec<usize> = files
+                .filter_map(|f| std::fs::read_to_string(f.path()).ok())
+                .map(|t| t.lines().count())
+                .collect();
+            // A header, the deployment's line in the one of the two, and the three nodes.
+            let nodes = if what == "exclude" { 3 } else { 0 };
+            assert!(kept.iter().all(|n| (nodes + 1..=nodes + 2).contains(n)) && kept.len() == 2, "{kept:?}");
+        }
+    }
+    drop(play);
+}
+
 macro_rules! cases {
     ($($name:ident)*) => {
         mod machine { $(#[test] fn $name() { super::$name(); })* }
@@ -135,4 +251,8 @@
     purge_after_a_step
     exclusion_that_cannot_be_kept
     configuration_that_is_unreadable_for_a_moment
+    connections_that_this_machine_fails
+    calls_through_failing_system_calls
+    exclusion_while_a_process_replaces_another
+    exclusions_at_once
 }
--- a/crates/fernslip/src/facade.rs
+++ b/crates/fernslip/src/facade.rs
@@ -411,9 +411,9 @@
         true
     }
 
-    /// Whether a cache of that id is listed, or out by hand.
-    pub fn knows(&self, cache: &CacheId) -> bool {
-        self.lock().hand.knows(cache)
+    /// Whether a cache of that id is listed.
+    pub fn is_listed(&self, cache: &CacheId) -> bool {
+        self.lock().hand.is_listed(cache)
     }
 
     /// Takes caches out by hand before they are listed: the set that a front kept across its restart.
--- a/crates/fernslip/src/hand.rs
+++ b/crates/fernslip/src/hand.rs
@@ -60,9 +60,9 @@
         self.since.get(id).copied()
     }
 
-    /// Whether a node of that id is listed, or out by hand.
-    pub fn knows(&self, id: &CacheId) -> bool {
-        self.listed.contains_key(id) || self.out.contains(id)
+    /// Whether a node of that id is listed.
+    pub fn is_listed(&self, id: &CacheId) -> bool {
+        self.listed.contains_key(id)
     }
 
     /// Takes a node out; the entry that tells the decisions so, or `None` where no node of that id is listed.
--- a/crates/front/src/boxes/upstream.rs
+++ b/crates/front/src/boxes/upstream.rs
@@ -1,8 +1,8 @@
 //! Connections to cache nodes, parents and the origin: few for each, many requests on one.
 
+use crate::failure::{patiently, Failure};
 use crate::invariants::{Invariant, Invariants};
 use crate::link::{lock, Departure, Gate, Link};
-use crate::listen::is_out_of_descriptors;
 use crate::log::Reason;
 use crate::resp;
 use crate::sending::{Denied, Sending, Times};
@@ -38,6 +38,8 @@
 /// A request that waited less than this for its first byte goes out as it was queued: what it tells of the time left is
 /// right to that much.
 const FRESH: Duration = Duration::from_millis(10);
+/// A connection is given at least so long to come up.
+const LEAST_CONNECT: Duration = Duration::from_millis(1);
 /// An answer that has begun and of which nothing more comes for so long never ends; longer than a lost
 /// packet takes to be sent again.
 const STALL: Duration = Duration::from_millis(250);
@@ -381,6 +383,35 @@
     pub idle: Option<Duration>,
 }
 
+/// Connects, again for a while where this machine wants for something and an attempt still waits; how long the connection
+/// that came up took.
+fn dial(addr: SocketAddr, timeout: Duration, conn: &Conn) -> std::io::Result<(TcpStream, Duration)> {
+    let again = |e: &std::io::Error| {
+        let waited_for = !lock(&conn.open).slots.is_empty() && !conn.link.is_closing();
+        e.kind() != ErrorKind::TimedOut && Failure::of(e).is_for_a_moment() && waited_for
+    };
+    patiently(timeout, again, |left| {
+        let began = Instant::now();
+        let stream = TcpStream::connect_timeout(&addr, left.max(LEAST_CONNECT))?;
+        Ok((stream, began.elapsed()))
+    })
+}
+
+/// Closes the connection that has been idle for longest, to make a place; whether there is one.
+fn close_idlest(nodes: &HashMap<CacheId, Node>) -> bool {
+    let all = nodes.values().flat_map(|node| &node.conns);
+    let idle = all.filter_map(|conn| {
+        let open = lock(&conn.open);
+        open.idle_since.filter(|_| !open.over && open.slots.is_empty()).map(|since| (since, conn))
+    });
+    let idlest = idle.min_by_key(|(since, _)| *since);
+    if let Some((_, conn)) = idlest {
+        lock(&conn.open).over = true;
+        conn.link.close(Reason::TooMany);
+    }
+    idlest.is_some()
+}
+
 /// All connections to the machines behind.
 pub struct Upstream {
     limits: Limits,
@@ -569,10 +600,11 @@
                 return Ok((*c).clone());
             }
         }
-        if full {
-            // The front's own limit: nothing to hold against the machine.
-            return Err(Ending::Saturated);
+        if full && !close_idlest(&nodes) {
+            // The front's own limit: nothing to hold against the node.
+            return Err(Ending::Retracted);
         }
+        let Some(node) = nodes.get_mut(&a.cache) else { return Err(Ending::RefusedConn) };
         self.connections.fetch_add(1, Ordering::Relaxed);
         let conn = Arc::new(Conn::default());
         conn.admit(a.id, slot, self.limits.streams);
@@ -581,18 +613,20 @@
         let (dialled, addr) = (conn.clone(), node.addr);
         let (name, count) = (a.cache.clone(), self.connections.clone());
         spawn(move || {
-            let began = Instant::now();
-            let (why, unwritten) = match TcpStream::connect_timeout(&addr, timeout) {
-                Ok(stream) => {
-                    lock(&dialled.open).handshake = began.elapsed();
+            let (why, unwritten) = match dial(addr, timeout, &dialled) {
+                Ok((stream, handshake)) => {
+                    lock(&dialled.open).handshake = handshake;
                     dialled.link.up(stream);
                     let why = dialled.link.run(|b| dialled.answers(b), |_| false);
                     (why, Ending::Retracted)
                 }
-                // This front's own want: nothing to hold against the machine.
-                Err(e) if is_out_of_descriptors(&e) => (Reason::NoDescriptor, Ending::Retracted),
                 Err(e) if e.kind() == ErrorKind::TimedOut => (Reason::ConnectTimeout, Ending::RefusedConn),
-                Err(_) => (Reason::Refused, Ending::RefusedConn),
+                // This front's own want: nothing to hold against the node.
+                Err(e) => match Failure::of(&e) {
+                    Failure::Descriptors => (Reason::NoDescriptor, Ending::Retracted),
+                    Failure::Machine | Failure::Again => (Reason::NoRoute, Ending::Retracted),
+                    Failure::Remote => (Reason::Refused, Ending::RefusedConn),
+                },
             };
             dialled.lost(unwritten);
             count.fetch_sub(1, Ordering::Relaxed);
--- a/crates/front/src/clients/listen.rs
+++ b/crates/front/src/clients/listen.rs
@@ -5,11 +5,13 @@
 //! the address again would fail with `EADDRINUSE`, so a front takes that socket; one that is no listening TCP socket
 //! is reported and the front binds as it always did.
 
+use crate::failure::{patiently, Failure};
 use may::io::{CoIo, WaitIo};
 use socket2::{Domain, Socket, Type};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 /// The variable that names the descriptor.
 pub const PASSED: &str = "RELAY_PASSED_SOCKET";
@@ -19,6 +21,11 @@
 /// does not fit.
 const BACKLOG: i32 = 4096;
 
+/// For so long an accepted connection waits for its place in the event queue.
+const REGISTERED_WITHIN: Duration = Duration::from_secs(1);
+/// What a connection that can't be registered is taken to have met.
+const ENOMEM: i32 = 12;
+
 /// Where the clients' socket came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
@@ -112,11 +119,6 @@
     Ok((Listener(co), origin))
 }
 
-/// Whether a call failed since the process, or the machine, has no descriptor left: 24 is `EMFILE`, 23 `ENFILE`.
-pub fn is_out_of_descriptors(e: &io::Error) -> bool {
-    matches!(e.raw_os_error(), Some(23 | 24))
-}
-
 /// A listener of the standard library's that coroutines wait on.
 pub struct Listener(CoIo<TcpListener>);
 
@@ -138,10 +140,7 @@
                 return Ok(None);
             }
             match self.0.inner().accept() {
-                Ok((stream, peer)) => {
-                    let stream = CoIo::new(stream).map_err(io::Error::from)?;
-                    return Ok(Some((stream, peer)));
-                }
+                Ok((stream, peer)) => return Ok(Some((registered(stream)?, peer))),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.0.wait_io();
                 }
@@ -161,14 +160,36 @@
     /// # Errors
     /// As [`Listener::accept`].
     pub fn accept_waiting(&self) -> io::Result<Option<(CoIo<TcpStream>, SocketAddr)>> {
-        match self.0.inner().accept() {
-            Ok((stream, peer)) => Ok(Some((CoIo::new(stream).map_err(io::Error::from)?, peer))),
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(None),
-            Err(e) => Err(e),
+        loop {
+            match self.0.inner().accept() {
+                Ok((stream, peer)) => return Ok(Some((registered(stream)?, peer))),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(None),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
         }
     }
 }
 
+/// Gives an accepted connection to the event queue. It is owed answers already: where the machine has no memory for a moment,
+/// it is not dropped for that.
+fn registered(stream: TcpStream) -> io::Result<CoIo<TcpStream>> {
+    let mut held = Some(stream);
+    patiently(
+        REGISTERED_WITHIN,
+        |e: &io::Error| Failure::of(e) != Failure::Remote,
+        |_| {
+            let stream = held.take().ok_or_else(|| io::Error::other("taken"))?;
+            CoIo::new(stream).map_err(|failed| {
+                // The error tells its number only when it gives the connection up.
+                let e = io::Error::from_raw_os_error(ENOMEM);
+                held = Some(failed.into_data());
+                e
+            })
+        },
+    )
+}
+
 #[cfg(test)]
 #[path = "listen/tests.rs"]
 mod tests;
--- a/crates/front/src/clients/server.rs
+++ b/crates/front/src/clients/server.rs
@@ -3,12 +3,13 @@
 use crate::budget::Budget;
 use crate::buffer::Buffer;
 use crate::call;
+use crate::failure::Failure;
 use crate::figures::Outcome;
 use crate::invariants::Invariant;
 use crate::lanes::{Caller, Lane};
 use crate::link::Stream;
 use crate::link::{lock, Link};
-use crate::listen::{self, Listener, Origin};
+use crate::listen::{Listener, Origin};
 use crate::log::Reason;
 use crate::msgpack_rpc::{self as rpc, Fields, Message};
 use crate::relay::{self, Answer};
@@ -487,7 +488,7 @@
                 // Out of descriptors, or a client that left at once: the next may be fine. An idle client gives its
                 // descriptor back, and the wait grows: accept fails at once as long as none is free.
                 Err(e) => {
-                    if listen::is_out_of_descriptors(&e) {
+                    if Failure::of(&e) == Failure::Descriptors {
                         tracing::warn!(held = self.held.load(Ordering::Relaxed), "accept: {e}");
                         self.evict(front);
                         crate::steps::sleep(pause);
--- a/crates/front/src/control/bus.rs
+++ b/crates/front/src/control/bus.rs
@@ -1,15 +1,19 @@
 //! The event bus: the list of machines and purges, as numbered events.
 
 use crate::buffer::Buffer;
+use crate::clock::Clock;
+use crate::failure::Failure;
 use crate::history::{History, Line};
 use crate::link::{lock, Link};
 use crate::log::Reason;
+use crate::wall::WallClock;
 use crate::Shared;
 use fernslip::json::{self, JsonError, Names};
 use fernslip::{CacheId, Entry, ObjectId, Phase};
 use may::net::TcpStream;
 use rand::{Rng, SeedableRng};
 use serde_json::Value;
+use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -20,6 +24,10 @@
 /// A line comes each second; without one for so long the connection is dead. Two lines may be late; what a bus
 /// that stops would have told counts as told after 4 s, so that a new one must be asked well before.
 const SILENCE: Duration = Duration::from_millis(2500);
+/// The longest that a connection may say nothing after others that said nothing at all.
+const MOST_SILENCE: Duration = Duration::from_millis(5000);
+/// What the bus has to tell is told that long after it happened at the latest, by the protocol.
+const TOLD_WITHIN_MS: f64 = 7_000.0;
 /// Between the end of a connection and the next, on average; each front's own times are spread by half.
 const RETRY: Duration = Duration::from_millis(200);
 /// The whole list of the largest deployment is a small part of this.
@@ -93,15 +101,48 @@
     Ok(Event::Other)
 }
 
-/// Hands an event to the module and to the connections.
-pub fn apply(front: &Shared, event: Event) {
+/// When nodes started, in module time, beside the Unix time that the bus tells: the same number stays the same start,
+/// whatever becomes of the wall clock.
+#[derive(Default)]
+pub struct Starts(Mutex<HashMap<CacheId, (f64, f64)>>);
+
+impl Starts {
+    /// Module time of a node's start; 0 there and here is 'long ago'. `not_before` as in [`WallClock::when`].
+    fn learn(&self, wall: &WallClock, id: &CacheId, unix_ms: f64, not_before: Option<f64>) -> f64 {
+        if unix_ms <= 0.0 {
+            return 0.0;
+        }
+        let mut all = lock(&self.0);
+        match all.get(id) {
+            Some((told, start)) if *told == unix_ms => *start,
+            _ => {
+                let start = wall.when(unix_ms, not_before.map(|at| at - TOLD_WITHIN_MS)).max(1.0);
+                all.insert(id.clone(), (unix_ms, start));
+                start
+            }
+        }
+    }
+
+    fn forget(&self, id: &CacheId) {
+        lock(&self.0).remove(id);
+    }
+
+    fn keep_only(&self, ids: &[CacheId]) {
+        lock(&self.0).retain(|id, _| ids.contains(id));
+    }
+}
+
+/// Hands an event to the module and to the connections. It is known to have been told after `since`, in module time: the
+/// bus had said something before.
+pub fn apply(front: &Shared, event: Event, since: Option<f64>) {
     let clock = &front.clock;
     match event {
         Event::Other => {}
         Event::Purge { object, group, unix_ms } => {
+            let at = front.wall.when(unix_ms, since);
             let now = clock.now();
             for lane in front.lanes.all() {
-                lane.dispatcher.purged(now, object, group, now - clock.from_unix(unix_ms));
+                lane.dispatcher.purged(now, object, group, now - at);
             }
         }
         // The site document has the members.
@@ -116,9 +157,12 @@
                 talk.news(front.lanes.all(), full, news.collect());
             }
             for (mut e, addr) in servers {
-                e.born_ms = clock.born(e.born_ms);
+                e.born_ms = front.bus.starts.learn(&front.wall, &e.cache, e.born_ms, since);
                 match (e.phase, addr) {
-                    (Phase::Out, _) => front.upstream.drop_node(&e.cache),
+                    (Phase::Out, _) => {
+                        front.bus.starts.forget(&e.cache);
+                        front.upstream.drop_node(&e.cache);
+                    }
                     (_, Some(addr)) => front.upstream.know(e.cache.clone(), addr, e.born_ms),
                     (_, None) => tracing::warn!("bus: {} has no address", e.cache.0),
                 }
@@ -126,6 +170,7 @@
             }
             if full {
                 let ids: Vec<CacheId> = entries.iter().map(|e| e.cache.clone()).collect();
+                front.bus.starts.keep_only(&ids);
                 front.upstream.keep_only(&ids);
             }
             front.lanes.list(clock, full, entries);
@@ -141,7 +186,7 @@
     match history.line(text, &front.names)? {
         Line::Nothing => {}
         Line::Event(number, event) => {
-            apply(front, event);
+            apply(front, event, front.bus.last_line(&front.clock));
             tracing::info!("bus offset={number}");
         }
         Line::Unread(number, e) => {
@@ -178,6 +223,7 @@
 /// The way to the bus: its address, which may change while the front runs, and the present connection.
 pub struct Bus {
     state: Mutex<State>,
+    starts: Starts,
     seed: u64,
     odd: AtomicU64,
 }
@@ -186,6 +232,10 @@
     addr: SocketAddr,
     link: Arc<Link>,
     heard: Option<Instant>,
+    /// When a line came last, on any connection: all that is told later happened after it was written.
+    last_line: Option<Instant>,
+    /// How long the present connection may say nothing.
+    patience: Duration,
 }
 
 impl Bus {
@@ -193,7 +243,14 @@
     pub fn new(addr: Option<SocketAddr>, seed: u64) -> Bus {
         let addr = addr.unwrap_or(([0, 0, 0, 0], 0).into());
         Bus {
-            state: Mutex::new(State { addr, link: Arc::default(), heard: None }),
+            state: Mutex::new(State {
+                addr,
+                link: Arc::default(),
+                heard: None,
+                last_line: None,
+                patience: SILENCE,
+            }),
+            starts: Starts::default(),
             seed,
             odd: AtomicU64::new(0),
         }
@@ -209,10 +266,15 @@
         }
     }
 
+    /// When a line came last, in module time.
+    fn last_line(&self, clock: &Clock) -> Option<f64> {
+        lock(&self.state).last_line.map(|at| clock.at(at))
+    }
+
     /// Now and then: ends a connection that says nothing.
     pub fn sweep(&self) {
         let state = lock(&self.state);
-        if state.heard.is_some_and(|at| at.elapsed() > SILENCE) {
+        if state.heard.is_some_and(|at| at.elapsed() > state.patience) {
             state.link.close(Reason::Silent);
         }
     }
@@ -221,7 +283,13 @@
         let stream = match TcpStream::connect_timeout(&addr, CONNECT) {
             Ok(s) => s,
             Err(e) if e.kind() == ErrorKind::TimedOut => return Reason::ConnectTimeout,
-            Err(_) => return Reason::Refused,
+            Err(e) => {
+                return match Failure::of(&e) {
+                    Failure::Descriptors => Reason::NoDescriptor,
+                    Failure::Machine | Failure::Again => Reason::NoRoute,
+                    Failure::Remote => Reason::Refused,
+                }
+            }
         };
         let link = Arc::new(Link::default());
         {
@@ -233,16 +301,24 @@
         }
         link.up(stream);
         link.send(format!("from {}\n", history.offset()).into_bytes(), None);
-        let mut seen = 0;
+        let (mut seen, mut spoke) = (0, false);
         let take = |buffer: &mut Buffer| {
             if lines(front, buffer, history, &mut seen)? {
-                lock(&self.state).heard = Some(Instant::now());
+                let mut state = lock(&self.state);
+                (state.heard, state.last_line) = (Some(Instant::now()), Some(Instant::now()));
+                state.patience = SILENCE;
+                spoke = true;
             }
             Ok(())
         };
         let why = link.run(take, |_| false);
         link.end();
-        lock(&self.state).heard = None;
+        let mut state = lock(&self.state);
+        state.heard = None;
+        // A bus that is crowded may need longer for its first line: it is not left again and again just before it.
+        if why == Reason::Silent && !spoke {
+            state.patience = (state.patience * 2).min(MOST_SILENCE);
+        }
         why
     }
 
--- a/crates/front/src/control/history.rs
+++ b/crates/front/src/control/history.rs
@@ -36,6 +36,8 @@
     anew: Option<Option<BTreeMap<CacheId, Server>>>,
     /// Last numbers in a row that were too low.
     low: u32,
+    /// The last event that was had, and the one that came next though others lie between.
+    gap: Option<(u64, u64)>,
 }
 
 /// So many last numbers in a row that are too low show a bus that has begun anew: one alone may have been read just before
@@ -45,7 +47,7 @@
 impl History {
     /// All up to event number `offset` is had.
     pub fn new(offset: u64) -> History {
-        History { offset, drained: HashMap::new(), anew: None, low: 0 }
+        History { offset, drained: HashMap::new(), anew: None, low: 0, gap: None }
     }
 
     /// Number of the last event that is had: what comes after it is to be asked for.
@@ -83,8 +85,16 @@
         if number <= self.offset {
             return Ok(Line::Nothing);
         }
-        (self.offset, self.low) = (number, 0);
-        let read = match event(&v, names) {
+        let read = event(&v, names);
+        // A whole list stands for all before it. Anything else behind a gap is asked for once more, with what is missing; a
+        // bus that tells it again without is taken at its word, or it would be asked for ever.
+        let whole = matches!(read, Ok(Event::List { full: true, .. }));
+        let gap = (self.offset, number);
+        if number > self.offset + 1 && !whole && self.gap.replace(gap) != Some(gap) {
+            return Err(Reason::Gap);
+        }
+        (self.offset, self.low, self.gap) = (number, 0, None);
+        let read = match read {
             Ok(e) => e,
             Err(e) => return Ok(Line::Unread(number, e)),
         };
--- a/crates/front/src/control/history/tests.rs
+++ b/crates/front/src/control/history/tests.rs
@@ -82,3 +82,19 @@
     let l = list(1, false, &[("a", "Terminating", 0.0)]);
     assert_eq!(phases(h.line(l.as_bytes(), &names)), [("a".into(), Phase::Draining)]);
 }
+
+/// An event between two others never came: it is asked for, and a bus that has none goes on. A whole list stands for all.
+#[test]
+fn an_event_that_is_missing_between_two_is_asked_for_once() {
+    let (names, mut h) = (names(), History::new(1));
+    let late = list(4, false, &[("a", "Terminating", 0.0)]);
+    assert!(matches!(h.line(late.as_bytes(), &names), Err(Reason::Gap)));
+    assert_eq!(h.offset(), 1, "what is missing is asked for");
+    let missing = list(2, false, &[("b", "Terminating", 0.0)]);
+    assert_eq!(phases(h.line(missing.as_bytes(), &names)), [("b".into(), Phase::Draining)]);
+    assert!(matches!(h.line(late.as_bytes(), &names), Err(Reason::Gap)), "another gap");
+    assert_eq!(phases(h.line(late.as_bytes(), &names)), [("a".into(), Phase::Draining)], "there is none");
+    let whole = list(9, true, &[("c", "Ready", 0.0)]);
+    assert_eq!(phases(h.line(whole.as_bytes(), &names)), [("c".into(), Phase::In)]);
+    assert_eq!(h.offset(), 9);
+}
--- a/crates/front/src/control/ops.rs
+++ b/crates/front/src/control/ops.rs
@@ -16,8 +16,9 @@
 
 use crate::Shared;
 use fernslip::CacheId;
+use std::collections::BTreeSet;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -28,6 +29,11 @@
 pub const MOST_LINE: usize = 512;
 /// A caller ends its line within this time, or is closed; callers wait 1 s for their answer.
 pub const PATIENCE: Duration = Duration::from_millis(2000);
+/// Between two looks at what another process of this front has out by hand; a call holds 1 s after it at the latest.
+const FOLLOW: Duration = Duration::from_millis(100);
+/// After its answer a caller closes within this time, or is closed: a close over bytes that were not read would reset the
+/// connection, and the answer with it.
+const LAST_READ: Duration = Duration::from_millis(200);
 /// Time to write an answer to a caller that does not read.
 const WRITE: Duration = Duration::from_millis(1000);
 
@@ -143,9 +149,27 @@
         Err(why @ ("too_long" | "malformed")) => format!("400 {}\n", why.replace('_', " ")),
         Err(why) => return why,
     };
-    match caller.write_all(answer.as_bytes()) {
-        Ok(()) => "answered",
-        Err(_) => "slow_reader",
+    if caller.write_all(answer.as_bytes()).is_err() {
+        return "slow_reader";
+    }
+    read_out(&mut caller);
+    "answered"
+}
+
+/// Shuts the sending half and reads on, within bounds, until the caller closes.
+fn read_out(caller: &mut TcpStream) {
+    let (until, mut dropped) = (Instant::now() + LAST_READ, [0; MOST_LINE]);
+    let _ = caller.shutdown(Shutdown::Write);
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() || caller.set_read_timeout(Some(left)).is_err() {
+            return;
+        }
+        match caller.read(&mut dropped) {
+            Ok(1..) => {}
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Ok(0) | Err(_) => return,
+        }
     }
 }
 
@@ -166,58 +190,108 @@
         Call::Include(id) => by_hand(front, &id, false),
         Call::Evacuate => {
             front.server.evacuate(true);
-            tracing::info!("ops: evacuating");
+            tracing::info!("admin: evacuating");
             "200 evacuating\n".into()
         }
         Call::Activate => {
             front.server.evacuate(false);
-            tracing::info!("ops: active");
+            tracing::info!("admin: active");
             "200 active\n".into()
         }
     }
 }
 
-/// Takes a node out by hand, or puts it back, in every lane; keeps the set where some lane knows the id.
+/// Takes a node out by hand, or puts it back, in every lane. What is answered with yes is kept for a process that replaces
+/// this one; where it can't be kept nothing changes, and the answer is no.
 fn by_hand(front: &Shared, id: &str, out: bool) -> String {
-    let (now, cache) = (front.clock.now(), CacheId::from(id));
-    let lanes = front.lanes.all().iter();
-    let known = lanes.fold(false, |known, l| {
-        let d = &l.dispatcher;
-        (if out { d.exclude(now, &cache) } else { d.include(now, &cache) }) | known
-    });
-    if !known {
+    let (lanes, cache) = (front.lanes.all(), CacheId::from(id));
+    let _one_at_a_time = front.excluded.change();
+    let mut set = excluded(front);
+    let listed = lanes.iter().any(|l| l.dispatcher.is_listed(&cache));
+    if !listed && (out || !set.contains(&cache)) {
         return format!("400 unknown {id}\n");
     }
-    keep(front);
+    if out {
+        set.insert(cache);
+    } else {
+        set.remove(&cache);
+    }
+    let ids: Vec<CacheId> = set.iter().cloned().collect();
+    if let Err(e) = front.excluded.save(&ids) {
+        tracing::warn!(node = %id, "admin: {}: {e}; nothing is changed", front.excluded);
+        return format!("400 {id} can't be kept: {e}\n");
+    }
+    take_up(front, &set);
     let what = if out { "excluded" } else { "included" };
-    tracing::info!(node = %id, "ops: {what}");
+    tracing::info!(node = %id, "admin: {what}");
     format!("200 {what} {id}\n")
 }
 
-/// Writes the set of nodes out by hand for a process that replaces this one.
-fn keep(front: &Shared) {
-    let mut ids: Vec<CacheId> = front.lanes.all().iter().flat_map(|l| l.dispatcher.excluded()).collect();
-    ids.sort();
-    ids.dedup();
-    if let Err(e) = front.excluded.save(&ids) {
-        tracing::warn!("ops: {}: {e}; a process that replaces this one won't know them", front.excluded);
+/// The nodes out by hand in any lane.
+fn excluded(front: &Shared) -> BTreeSet<CacheId> {
+    front.lanes.all().iter().flat_map(|l| l.dispatcher.excluded()).collect()
+}
+
+/// Makes the nodes out by hand those of the set.
+fn take_up(front: &Shared, set: &BTreeSet<CacheId>) {
+    for lane in front.lanes.all() {
+        let now = front.clock.now();
+        let dispatcher = &lane.dispatcher;
+        let before: BTreeSet<CacheId> = dispatcher.excluded().into_iter().collect();
+        for cache in set.difference(&before) {
+            // One that is not listed at the moment is out as soon as it is.
+            if !dispatcher.exclude(now, cache) {
+                dispatcher.restore([cache.clone()]);
+            }
+        }
+        for cache in before.difference(set) {
+            dispatcher.include(now, cache);
+        }
     }
 }
 
 /// Takes the set kept by an earlier process up; a file that can't be used is reported with its place and left.
 pub fn restore(front: &Shared) {
-    match front.excluded.load() {
+    front.excluded.tidy();
+    match front.excluded.load_at_start() {
         Ok(ids) if ids.is_empty() => {}
         Ok(ids) => {
-            tracing::info!(nodes = ids.len(), "ops: out by hand, as an earlier process left them");
+            tracing::info!(nodes = ids.len(), "admin: out by hand, as an earlier process left them");
             for lane in front.lanes.all() {
                 lane.dispatcher.restore(ids.iter().cloned());
             }
         }
-        Err(e) => tracing::warn!("ops: {e}; no node is out by hand"),
+        Err(e) => tracing::warn!("admin: {e}; no node is out by hand"),
     }
 }
 
+/// Follows what another process of this front does to the set, while one replaces the other, on a thread of its own: a call
+/// at either holds at both.
+///
+/// # Errors
+/// No thread can be had.
+pub fn follow(front: Arc<Shared>) -> io::Result<()> {
+    let follower = std::thread::Builder::new().name("excluded".into());
+    follower.spawn(move || loop {
+        std::thread::sleep(FOLLOW);
+        if !front.excluded.changed() {
+            continue;
+        }
+        let _one_at_a_time = front.excluded.change();
+        match front.excluded.load() {
+            Ok(ids) => {
+                tracing::info!(
+                    nodes = ids.len(),
+                    "admin: out by hand, as another process of this front has them"
+                );
+                take_up(&front, &ids.into_iter().collect());
+            }
+            Err(e) => tracing::warn!("admin: {e}; the nodes out by hand stay as they are"),
+        }
+    })?;
+    Ok(())
+}
+
 #[cfg(test)]
 #[path = "ops/tests.rs"]
 mod tests;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,11 +10,13 @@
 pub mod clock;
 pub mod control;
 pub mod ending;
+pub mod failure;
 pub mod invariants;
 pub mod link;
 pub mod log;
 mod spawn;
 pub mod steps;
+pub mod wall;
 
 pub use boxes::{guard, lanes, resp, sending, upstream};
 pub use clients::{budget, call, figures, listen, msgpack_rpc, relay, server};
@@ -24,6 +26,7 @@
 use clock::Clock;
 use config::{Config, ConfigError};
 use ending::Ending;
+use failure::{patiently, Failure};
 use fernslip::facade::{Host, Waiter};
 use fernslip::json::Names;
 use fernslip::{CacheId, Effect, Entry, RequestId, Sign};
@@ -36,14 +39,16 @@
 use may::sync::Blocker;
 use peers::Peers;
 use plan::Plan;
-use reload::Reload;
+use reload::{Reload, Signals};
 use spawn::{spawn, spawn_deep};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use upstream::{Limits, Upstream, Wait};
 use view::Fleet;
+use wall::WallClock;
 
 /// One core: one worker.
 const WORKERS: usize = 1;
@@ -54,6 +59,8 @@
 const SWEEP: Duration = Duration::from_millis(100);
 /// At its end the front looks this often at what is left.
 const SWEEP_AT_END: Duration = Duration::from_millis(10);
+/// An address that can't be had is tried again for so long: a process that is ready within 6 s may replace another.
+const BIND_WITHIN: Duration = Duration::from_secs(2);
 /// Without any list for so long the front says that it serves all the same: what the list holds up must not hold up
 /// the platform's release. Requests are refused at once until the list is there.
 const LIST_WAIT: Duration = Duration::from_millis(1000);
@@ -186,6 +193,8 @@
 pub struct Shared {
     /// Its clock.
     pub clock: Clock,
+    /// The wall clock beside it.
+    pub wall: WallClock,
     /// Names in the settings.
     pub names: Names,
     /// The pools, each before its decisions.
@@ -243,15 +252,15 @@
     /// Its settings are impossible.
     Settings(fernslip::SettingsError),
     /// An address cannot be had.
-    Bind(std::net::SocketAddr, std::io::Error),
-    /// A signal cannot be caught.
-    Signal(std::io::Error),
+    Bind(SocketAddr, std::io::Error),
     /// The local socket for operators cannot be had.
     Control(PathBuf, std::io::Error),
     /// `$RELAY_OPS` is no address.
     Door(String),
     /// A thread cannot be had.
     Thread(std::io::Error),
+    /// The coroutine that sees the front to its end has panicked.
+    Panic,
 }
 
 impl std::fmt::Display for StartError {
@@ -259,8 +268,8 @@
         match self {
             StartError::Settings(e) => write!(f, "configuration: {e}"),
             StartError::Bind(at, e) => write!(f, "cannot listen on {at}: {e}"),
-            StartError::Signal(e) => write!(f, "cannot catch signals: {e}"),
             StartError::Control(path, e) => write!(f, "cannot answer at {}: {e}", path.display()),
+            StartError::Panic => f.write_str("a defect ended what keeps house; its message is above"),
             StartError::Thread(e) => write!(f, "cannot start a thread: {e}"),
             StartError::Door(v) => write!(f, "{}={v:?} is no address", ops::VARIABLE),
         }
@@ -269,6 +278,12 @@
 
 impl std::error::Error for StartError {}
 
+/// Takes an address, again for a while where the machine wants for something, or an earlier process still has it.
+fn bound<T>(at: SocketAddr, bind: impl Fn() -> std::io::Result<T>) -> Result<T, StartError> {
+    let again = |e: &std::io::Error| Failure::of(e) != Failure::Remote;
+    patiently(BIND_WITHIN, again, |_| bind()).map_err(|e| StartError::Bind(at, e))
+}
+
 /// An id for a disk that is empty: another each time.
 fn rand_id() -> u64 {
     let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
@@ -277,13 +292,12 @@
 }
 
 /// Starts a front and serves until SIGTERM, and then until all that came is answered.
-pub fn start(start: Start) -> Result<(), StartError> {
+pub fn start(start: Start, signals: Signals) -> Result<(), StartError> {
     let Start { config, plan, gossip, view, site } = start;
     may::config().set_workers(WORKERS).set_stack_size(STACK_WORDS);
     let clock = Clock::start();
-    let leave = Arc::new(AtomicBool::new(false));
-    signal_hook::flag::register(signal_hook::consts::SIGTERM, leave.clone()).map_err(StartError::Signal)?;
-    let reload = Reload::catch(config.file, site).map_err(StartError::Signal)?;
+    let Signals { term: leave, hup } = signals;
+    let reload = Reload::new(hup, config.file, site);
     let mut startup = Startup { signals_caught: true, ..Startup::default() };
     let budget = config.budget;
     let limits = Limits {
@@ -296,13 +310,12 @@
     let upstream = Arc::new(Upstream::new(limits, invariants.clone()));
     let peers = match config.peer_listen {
         Some(at) => {
-            let p = Peers::bind(at, config.peers, config.peers_all).map_err(|e| StartError::Bind(at, e))?;
-            Some(Arc::new(p))
+            let bound = bound(at, || Peers::bind(at, config.peers.clone(), config.peers_all))?;
+            Some(Arc::new(bound))
         }
         None => None,
     };
-    let (listener, origin) =
-        listen::clients(config.listen).map_err(|e| StartError::Bind(config.listen, e))?;
+    let (listener, origin) = bound(config.listen, || listen::clients(config.listen))?;
     let listen = listener.local_addr().unwrap_or(config.listen);
     let machines = Arc::new(Machines::default());
     let effects: Arc<[Effect]> = config.settings.classes.iter().map(|c| c.effect).collect();
@@ -362,6 +375,7 @@
     let lanes = lanes.map_err(StartError::Settings)?;
     let front = Arc::new(Shared {
         clock,
+        wall: WallClock::start(clock),
         names: config.names,
         lanes,
         talk: talk.clone(),
@@ -392,7 +406,7 @@
         match bus::event(v, &front.names) {
             Ok(e) => {
                 history.learn(&e);
-                bus::apply(&front, e);
+                bus::apply(&front, e, None);
             }
             Err(e) => tracing::warn!("known: {e}"),
         }
@@ -418,13 +432,14 @@
     }
     if origin == listen::Origin::Passed {
         tracing::info!("the clients' socket is the one handed over in {}", listen::PASSED);
+        ops::follow(front.clone()).map_err(StartError::Thread)?;
     }
     let door = match std::env::var(ops::VARIABLE) {
         Ok(v) if !v.trim().is_empty() => Some(v.trim().parse().map_err(|_| StartError::Door(v))?),
         _ => config.ops,
     };
     if let Some(at) = door {
-        let door = ops::open(front.clone(), at, budget.callers).map_err(|e| StartError::Bind(at, e))?;
+        let door = bound(at, || ops::open(front.clone(), at, budget.callers))?;
         tracing::info!("operators' door at {door}");
     }
     startup.may_serve(&front.invariants);
@@ -440,8 +455,7 @@
     let housekeeper = may::go!(move || {
         keep_house(&front, &leave, reload, Ending::of(longest, origin), &waker);
     });
-    let _ = housekeeper.join();
-    Ok(())
+    housekeeper.join().map_err(|_| StartError::Panic)
 }
 
 /// Takes new files up, as far as a running front can.
@@ -491,6 +505,7 @@
             tracing::warn!(dropped = strange - odd, total = strange, "odd messages of peers");
             odd = strange;
         }
+        front.wall.observe();
         front.upstream.sweep();
         front.bus.sweep();
         match reload.poll() {
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -5,7 +5,9 @@
 //! wakes one waiting coroutine only, so reading and writing share the one wait.
 
 use crate::buffer::Buffer;
+use crate::failure::Failure;
 use crate::log::Reason;
+use crate::steps;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use may::net::TcpStream;
 use std::collections::VecDeque;
@@ -20,6 +22,8 @@
 /// A graceful close reads on for so long at the most: many times the way there and back, and the 50 ms in which a
 /// request may cross a close.
 const LINGER: Duration = Duration::from_millis(400);
+/// Where the machine has no buffers for a moment, what is to be read or written is tried again after this.
+const STARVED: Duration = Duration::from_millis(2);
 /// The bytes that it reads and drops at the most: guards against those who go on sending.
 const LINGER_BYTES: usize = 128 * 1024;
 
@@ -71,6 +75,8 @@
     over: bool,
     /// The socket failed: what waits can't be written.
     broken: bool,
+    /// The machine had no buffers for what waits.
+    starved: bool,
     /// When bytes went out last.
     moved: Instant,
     /// A graceful close is under way and ends by then.
@@ -80,7 +86,16 @@
 impl Default for Out {
     fn default() -> Out {
         let (chunks, moved) = (VecDeque::new(), Instant::now());
-        Out { chunks, bytes: 0, closing: None, over: false, broken: false, moved, linger_until: None }
+        Out {
+            chunks,
+            bytes: 0,
+            closing: None,
+            over: false,
+            broken: false,
+            starved: false,
+            moved,
+            linger_until: None,
+        }
     }
 }
 
@@ -296,8 +311,10 @@
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(_) => {
-                    out.broken = true;
+                Err(e) => {
+                    // Without buffers the coroutine of the connection tries again.
+                    out.starved = Failure::of(&e).is_for_a_moment();
+                    out.broken = !out.starved;
                     wire.waker.wakeup();
                     return;
                 }
@@ -309,6 +326,14 @@
         }
     }
 
+    /// Waits a moment where the machine had no buffers for what is to be written, and writes it.
+    fn recover(&self) {
+        while std::mem::take(&mut lock(&self.out).starved) {
+            steps::sleep(STARVED);
+            self.flush();
+        }
+    }
+
     /// Asks the gates of what waits whether it goes out, up to the first that does; whether there is one.
     fn admit_first(&self, out: &mut Out) -> bool {
         while let Some(c) = out.chunks.front_mut() {
@@ -349,6 +374,7 @@
         let mut buffer = Buffer::default();
         loop {
             self.flush();
+            self.recover();
             let (closing, broken) = {
                 let out = lock(&self.out);
                 (out.closing, out.broken)
@@ -374,6 +400,7 @@
                     }
                     Err(e) if e.kind() == ErrorKind::Interrupted => {}
                     Err(e) if e.kind() == ErrorKind::WouldBlock => break Ok(()),
+                    Err(e) if Failure::of(&e).is_for_a_moment() => steps::sleep(STARVED),
                     Err(_) => break Err(Reason::Reset),
                 }
             };
@@ -415,6 +442,7 @@
                 Ok(n) => left -= n,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => wire.stream.wait_io(),
+                Err(e) if Failure::of(&e).is_for_a_moment() => steps::sleep(STARVED),
                 Err(_) => return,
             }
         }
--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -90,6 +90,8 @@
     NoDescriptor,
     /// The other side's numbers begin anew.
     Renumbered,
+    /// This machine had no port, buffer, memory or route for it.
+    NoRoute,
 }
 
 impl Reason {
@@ -123,6 +125,7 @@
             Reason::Moved => "moved",
             Reason::NoDescriptor => "no_descriptor",
             Reason::Renumbered => "renumbered",
+            Reason::NoRoute => "no_route",
         }
     }
 }
--- /dev/null
+++ b/crates/front/src/wall.rs
@@ -0,0 +1,74 @@
+//! The wall clock, which may be stepped at any time: a Unix time from outside becomes a span of real time once, on its arrival.
+//!
+//! A step is noticed by comparing the wall clock with the monotonic one, at each use and every 100 ms. Once there was one, no
+//! Unix time can be trusted: it may be from before the step, or from a machine that was not stepped. What it dates is then
+//! taken to have happened in this moment, which is the careful answer for purges and for starts of nodes alike. So is what
+//! lies in the future. A bound from elsewhere (when the discovery watch last said something) holds in any case.
+
+use crate::clock::Clock;
+use crate::link::lock;
+use std::sync::Mutex;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Between two looks the two clocks drift apart by far less, in milliseconds; a step is more.
+const STEP_MS: f64 = 50.0;
+
+/// The wall clock's reading now, in Unix milliseconds.
+fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
+}
+
+struct State {
+    /// Unix time less module time.
+    offset_ms: f64,
+    steps: u64,
+}
+
+/// The wall clock beside the monotonic one.
+pub struct WallClock {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+impl WallClock {
+    /// Compared with that clock from now on.
+    pub fn start(clock: Clock) -> WallClock {
+        let offset_ms = unix_ms() - clock.now();
+        WallClock { clock, state: Mutex::new(State { offset_ms, steps: 0 }) }
+    }
+
+    /// Looks whether the wall clock was stepped, now and then; how often it was since the start.
+    pub fn observe(&self) -> u64 {
+        self.compare(unix_ms())
+    }
+
+    fn compare(&self, unix_ms: f64) -> u64 {
+        let mut state = lock(&self.state);
+        let offset_ms = unix_ms - self.clock.now();
+        let stepped_ms = offset_ms - state.offset_ms;
+        // Slewing moves the offset slowly: it is followed.
+        state.offset_ms = offset_ms;
+        if stepped_ms.abs() > STEP_MS {
+            state.steps += 1;
+            tracing::warn!(by_ms = stepped_ms as i64, "the wall clock was stepped");
+        }
+        state.steps
+    }
+
+    /// When, in module time, something happened that is dated `unix_ms` and arrives now. It is known not to have happened
+    /// before `not_before`, in module time.
+    pub fn when(&self, unix_ms: f64, not_before: Option<f64>) -> f64 {
+        self.when_at(unix_ms, not_before, self::unix_ms())
+    }
+
+    fn when_at(&self, unix_ms: f64, not_before: Option<f64>, wall_ms: f64) -> f64 {
+        let stepped = self.compare(wall_ms) > 0;
+        let now = self.clock.now();
+        let age_ms = if stepped { 0.0 } else { (wall_ms - unix_ms).max(0.0) };
+        (now - age_ms).max(not_before.unwrap_or(f64::MIN)).min(now)
+    }
+}
+
+#[cfg(test)]
+#[path = "wall/tests.rs"]
+mod tests;
