--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`fronts`]: the processes: started, stopped, killed, watched.
 //! - [`play`]: one scenario with one seed; [`suite`]: many, as rows.
 //! - [`shim`]: faults of the machine under a process: failing system calls, a stepped wall clock.
+//! - [`soak`]: fronts of the platform's configuration under overlapping troubles, judged by the rules.
 //! - [`picture`]: what each front saw over time.
 //!
 //! Front `i` listens on 127.10.x.y and tells others 127.20.x.y, which is the rig's: a datagram to it is sent on to the
@@ -22,6 +23,7 @@
 pub mod play;
 pub mod scenario;
 pub mod shim;
+pub mod soak;
 pub mod suite;
 
 use std::io;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,6 +5,7 @@
 use fernslip_rig::pairs;
 use fernslip_rig::play::{play, Options, Played};
 use fernslip_rig::scenario::Scenario;
+use fernslip_rig::soak::run as soak;
 use fernslip_rig::{picture, suite};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -81,6 +82,30 @@
         #[command(flatten)]
         options: With,
     },
+    /// Plays overlapping troubles under real fronts with the platform's configuration, a run a seed; 3 where a rule was broken.
+    Soak {
+        /// Fronts.
+        #[arg(long, default_value_t = 24)]
+        fronts: usize,
+        /// Seeds.
+        #[arg(long, value_delimiter = ',', default_value = "1")]
+        seeds: Vec<u64>,
+        /// How long troubles come, in seconds.
+        #[arg(long, default_value_t = 25)]
+        seconds: u64,
+        /// Requests a second at each front.
+        #[arg(long, default_value_t = 15.0)]
+        load: f64,
+        /// No trouble at all.
+        #[arg(long)]
+        calm: bool,
+        /// The program; without it the one beside this.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Where the runs go, as JSON; without it to standard output.
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
     /// Names the scenarios that come with the rig.
     List,
 }
@@ -98,12 +123,16 @@
     without_view: bool,
 }
 
+/// The program to be tried: the one that is named, or the one beside this.
+fn program_of(named: Option<&PathBuf>) -> Result<PathBuf, String> {
+    let beside = std::env::current_exe().ok().map(|p| p.with_file_name("fernslip"));
+    let program = named.cloned().or(beside).filter(|p| p.is_file());
+    Ok(program.ok_or("no program; build it (`cargo build --release`) or name it with --program")?)
+}
+
 impl With {
     fn options(&self, fronts: Option<usize>, seed: u64) -> Result<Options, String> {
-        let beside = std::env::current_exe().ok().map(|p| p.with_file_name("fernslip"));
-        let program = self.program.clone().or(beside).filter(|p| p.is_file());
-        let program =
-            program.ok_or("no program; build it (`cargo build --release`) or name it with --program")?;
+        let program = program_of(self.program.as_ref())?;
         Ok(Options {
             programs: Programs::one(program),
             fronts,
@@ -189,6 +218,30 @@
             }
             Ok(good)
         }
+        Command::Soak { fronts, seeds, seconds, load, calm, program, json } => {
+            let program = program_of(program.as_ref())?;
+            let lasts = std::time::Duration::from_secs(seconds);
+            let mut runs = Vec::new();
+            let mut good = true;
+            for seed in seeds {
+                let options =
+                    soak::Options { program: program.clone(), fronts, seed, lasts, a_second: load, calm };
+                let report = soak::run(&options).await.map_err(|e| e.to_string())?;
+                eprintln!(
+                    "seed {seed}: {} troubles, broken {:?}, {:?}",
+                    report.troubles, report.breaches, report.counts
+                );
+                report.texts.iter().take(12).for_each(|t| eprintln!("  {t}"));
+                good &= report.breaches.is_empty();
+                runs.push(report.to_json());
+            }
+            let text = format!("{:#}\n", serde_json::json!({ "fronts": fronts, "runs": runs }));
+            match json {
+                Some(file) => write(&file, &text)?,
+                None => print!("{text}"),
+            }
+            Ok(good)
+        }
         Command::Run { scenario, fronts, seed, out, with } => {
             run(&scenario, &with.options(fronts, seed)?, out.as_deref()).await
         }
