--- a/crates/fernslip/src/facade.rs
+++ b/crates/fernslip/src/facade.rs
@@ -471,6 +471,11 @@
         self.lock().router.odd_messages()
     }
 
+    /// What was given up since the start, by cause.
+    pub fn given_up(&self) -> Vec<(&'static str, u64)> {
+        self.lock().router.given_up().iter().map(|(why, n)| (*why, *n)).collect()
+    }
+
     /// How many requests are open.
     pub fn open(&self) -> usize {
         self.lock().open.len()
--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -995,6 +995,11 @@
         self.odd
     }
 
+    /// What was given up since the start, by cause.
+    pub fn given_up(&self) -> &BTreeMap<&'static str, u64> {
+        self.given_up.totals()
+    }
+
     /// How many requests, purges and untold filter changes are held: for watching memory.
     pub fn held(&self) -> (usize, usize, usize) {
         (self.reqs.len(), self.purges.len(), self.caches.values().map(|c| c.changes.len()).sum())
--- a/crates/fernslip/src/share.rs
+++ b/crates/fernslip/src/share.rs
@@ -261,6 +261,8 @@
 #[derive(Default)]
 pub struct GivenUp {
     counts: BTreeMap<&'static str, u32>,
+    /// The same since the start.
+    totals: BTreeMap<&'static str, u64>,
     next: f64,
 }
 
@@ -271,6 +273,12 @@
     /// One more, for that cause.
     pub fn count(&mut self, why: &'static str) {
         *self.counts.entry(why).or_default() += 1;
+        *self.totals.entry(why).or_default() += 1;
+    }
+
+    /// All since the start, by cause.
+    pub fn totals(&self) -> &BTreeMap<&'static str, u64> {
+        &self.totals
     }
 
     /// A line for the log when one is due and there is something to say.
--- a/crates/front/src/boxes/lanes/tests.rs
+++ b/crates/front/src/boxes/lanes/tests.rs
@@ -91,7 +91,7 @@
     };
     let machines = Arc::new(Machines::default());
     let ways = || Ways {
-        upstream: Arc::new(Upstream::new(limits, Arc::default())),
+        upstream: Arc::new(Upstream::new(limits, Arc::default(), Arc::default())),
         peers: None,
         machines: machines.clone(),
         effects: Arc::from([]),
--- a/crates/front/src/boxes/sending.rs
+++ b/crates/front/src/boxes/sending.rs
@@ -26,6 +26,16 @@
 }
 
 impl Denied {
+    /// Its name in figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Denied::CalledOff => "called_off",
+            Denied::ClientLeft => "client_left",
+            Denied::Outdated => "outdated",
+            Denied::TooLate => "too_late",
+        }
+    }
+
     /// What is reported of the attempt: nothing of it ran.
     pub fn ending(self) -> Ending {
         match self {
--- a/crates/front/src/boxes/upstream.rs
+++ b/crates/front/src/boxes/upstream.rs
@@ -8,6 +8,7 @@
 use crate::sending::{Denied, Sending, Times};
 use crate::spawn::spawn;
 use crate::steps;
+use crate::tally::{Kind, Tally};
 use fernslip::facade::{Attempt, Waiter};
 use fernslip::json::HOLDS;
 use fernslip::{CacheId, Ending, RequestId};
@@ -421,11 +422,12 @@
     attempts: Mutex<HashMap<RequestId, Arc<Slot>>>,
     connections: Arc<AtomicUsize>,
     invariants: Arc<Invariants>,
+    tally: Arc<Tally>,
 }
 
 impl Upstream {
     /// No machine is known yet; what must hold is counted there.
-    pub fn new(limits: Limits, invariants: Arc<Invariants>) -> Upstream {
+    pub fn new(limits: Limits, invariants: Arc<Invariants>, tally: Arc<Tally>) -> Upstream {
         Upstream {
             limits,
             nodes: Mutex::default(),
@@ -433,6 +435,7 @@
             attempts: Mutex::default(),
             connections: Arc::default(),
             invariants,
+            tally,
         }
     }
 
@@ -525,6 +528,7 @@
         let mut times = times;
         let now = Instant::now();
         if let Err(why) = slot.sending.check(now) {
+            self.tally.add(Kind::Denied, why.name());
             return End::without_answer(why.ending());
         }
         let conn = match self.checkout(a, slot) {
@@ -540,6 +544,7 @@
             }
             let denied = lock(&slot.progress).denied;
             if let Some(why) = denied {
+                self.tally.add(Kind::Denied, why.name());
                 conn.end(a.id, End::without_answer(why.ending()));
                 continue;
             }
@@ -611,7 +616,7 @@
         node.conns.push(conn.clone());
         let timeout = node.timing.connect.unwrap_or(self.limits.connect_timeout);
         let (dialled, addr) = (conn.clone(), node.addr);
-        let (name, count) = (a.cache.clone(), self.connections.clone());
+        let (name, count, tally) = (a.cache.clone(), self.connections.clone(), self.tally.clone());
         spawn(move || {
             let (why, unwritten) = match dial(addr, timeout, &dialled) {
                 Ok((stream, handshake)) => {
@@ -631,6 +636,7 @@
             dialled.lost(unwritten);
             count.fetch_sub(1, Ordering::Relaxed);
             let asked = lock(&dialled.open).asked;
+            tally.add(Kind::UpstreamClosed, why.code());
             tracing::info!(kind = %"upstream", node = %name.0, %addr, reason = %why.code(), asked, "end");
         });
         Ok(conn)
--- a/crates/front/src/boxes/upstream/tests.rs
+++ b/crates/front/src/boxes/upstream/tests.rs
@@ -90,7 +90,7 @@
         idle: Duration::from_secs(9),
         connections: 16, // half of them for machines to come
     };
-    let upstream = Arc::new(Upstream::new(limits, Arc::default()));
+    let upstream = Arc::new(Upstream::new(limits, Arc::default(), Arc::default()));
     let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     upstream.know("s-1".into(), silent.local_addr().expect("bound"), 0.0);
     let done = may::go!(move || {
@@ -136,7 +136,7 @@
         idle: Duration::from_secs(9),
         connections: 4,
     };
-    let upstream = Arc::new(Upstream::new(limits, Arc::default()));
+    let upstream = Arc::new(Upstream::new(limits, Arc::default(), Arc::default()));
     // A machine that takes connections and says nothing.
     let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     upstream.know("s-1".into(), silent.local_addr().expect("bound"), 0.0);
@@ -167,7 +167,7 @@
         idle: Duration::from_secs(9),
         connections: 4,
     };
-    let upstream = Arc::new(Upstream::new(limits, Arc::default()));
+    let upstream = Arc::new(Upstream::new(limits, Arc::default(), Arc::default()));
     let node = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     upstream.know("s-1".into(), node.local_addr().expect("bound"), 0.0);
     let mut a = attempt(1);
@@ -203,7 +203,7 @@
         idle: Duration::from_secs(9),
         connections: 2,
     };
-    let upstream = Arc::new(Upstream::new(limits, Arc::default()));
+    let upstream = Arc::new(Upstream::new(limits, Arc::default(), Arc::default()));
     let nodes = ["n-1", "n-2", "n-3"].map(|id| {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         upstream.know(id.into(), listener.local_addr().expect("bound"), 0.0);
--- a/crates/front/src/clients/relay.rs
+++ b/crates/front/src/clients/relay.rs
@@ -5,6 +5,7 @@
 use crate::invariants::Invariant;
 use crate::lanes::{Caller, Lane};
 use crate::sending::Times;
+use crate::tally::Kind;
 use crate::upstream::Reply;
 use crate::Shared;
 use fernslip::facade::{Decision, Ended};
@@ -28,6 +29,22 @@
     None,
 }
 
+/// How an attempt ended, as a figure's name.
+fn ending_name(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Completed => "completed",
+        Ending::Errored => "errored",
+        Ending::Saturated => "saturated",
+        Ending::Overdue => "overdue",
+        Ending::RefusedConn => "refused_conn",
+        Ending::Severed => "severed",
+        Ending::Recalled => "recalled",
+        Ending::Superseded => "superseded",
+        Ending::Retracted => "retracted",
+        Ending::LookupMiss => "lookup_miss",
+    }
+}
+
 /// Sees a request through to its final answer, or to the moment in which its caller leaves.
 pub fn serve(
     front: &Shared,
@@ -54,7 +71,7 @@
     let request_kb = request.size_kb;
     let ask_class = request.class;
     let mut decision = dispatcher.pick(clock.now(), request);
-    let mut reply = None;
+    let (mut reply, mut last) = (None, None);
     loop {
         match decision {
             Decision::Try(a) => {
@@ -68,6 +85,9 @@
                 }
                 // The guard for repeating: the module does not ask for this, and were it to, nothing runs twice.
                 let allowed = !may_have_run || effect != Effect::AtMostOnce;
+                if let Some(ending) = last {
+                    front.tally.add(Kind::Retried, ending_name(ending));
+                }
                 let seen = || format!("trace={} n={} after one that may have run", ask.trace, a.number);
                 if !front.invariants.check(Invariant::RepeatAllowed, allowed, seen) {
                     dispatcher.stop(clock.now(), &a);
@@ -85,6 +105,7 @@
                 }
                 place.ended(&a, end.ending);
                 may_have_run |= !end.ending.never_ran();
+                last = Some(end.ending);
                 if end.whole {
                     front.figures.sent(ask_class);
                 }
--- a/crates/front/src/clients/server.rs
+++ b/crates/front/src/clients/server.rs
@@ -14,6 +14,7 @@
 use crate::msgpack_rpc::{self as rpc, Fields, Message};
 use crate::relay::{self, Answer};
 use crate::spawn::spawn;
+use crate::tally::Kind;
 use crate::Shared;
 use fernslip::{Class, Request, RequestId};
 use std::collections::HashMap;
@@ -167,21 +168,17 @@
                 front.figures.ended(class, None);
                 return;
             }
-            let settled = open.calls.remove(&call);
+            let trace = open.calls.remove(&call).map_or(0, |c| c.id.0);
+            tracing::debug!(trace = %format_args!("{trace:016x}"), ?outcome, "answered");
             if open.calls.is_empty() {
                 open.idle_since = Some(Instant::now());
             }
             open.served |= served;
             if let Some(bytes) = bytes {
-                let delivered = self.send(bytes);
-                front.invariants.check(
-                    Invariant::AnswerDelivered,
-                    delivered || self.link.is_broken(),
-                    || {
-                        let trace = settled.map_or(0, |c| c.id.0);
-                        format!("trace={trace:016x} answered on a connection that was closed")
-                    },
-                );
+                let delivered = self.send(bytes) || self.link.is_broken();
+                front.invariants.check(Invariant::AnswerDelivered, delivered, || {
+                    format!("trace={trace:016x} answered on a connection that was closed")
+                });
             }
             open.calls.is_empty()
         };
@@ -475,6 +472,7 @@
                     if !self.make_place(front) {
                         drop(stream);
                         self.held.fetch_sub(1, Ordering::Relaxed);
+                        front.tally.add(Kind::ClientClosed, Reason::TooMany.code());
                         tracing::info!(kind = %"client", %peer, reason = %Reason::TooMany.code(), "end");
                         continue;
                     }
@@ -568,6 +566,7 @@
         }
         self.held.fetch_sub(1, Ordering::Relaxed);
         let unanswered = left.len();
+        front.tally.add(Kind::ClientClosed, why.code());
         front.invariants.check(Invariant::CloseSettled, !why.is_own_choice() || unanswered == 0, || {
             format!("{peer} closed as {} with {unanswered} calls open", why.code())
         });
--- a/crates/front/src/control/bus.rs
+++ b/crates/front/src/control/bus.rs
@@ -6,6 +6,7 @@
 use crate::history::{History, Line};
 use crate::link::{lock, Link};
 use crate::log::Reason;
+use crate::tally::Kind;
 use crate::wall::WallClock;
 use crate::Shared;
 use fernslip::json::{self, JsonError, Names};
@@ -328,6 +329,7 @@
             let addr = lock(&self.state).addr;
             let why = self.follow(front, addr, &mut history);
             let offset = history.offset();
+            front.tally.add(Kind::BusClosed, why.code());
             // Lines and events that could not be used, since the start.
             let malformed = u64::from(why == Reason::Malformed);
             let odd = self.odd.fetch_add(malformed, Ordering::Relaxed) + malformed;
--- a/crates/front/src/control/ops.rs
+++ b/crates/front/src/control/ops.rs
@@ -14,9 +14,10 @@
 //! closed after [`PATIENCE`] or answered `400` at once. Nodes out by hand are [kept](crate::excluded) for a process that
 //! replaces this one.
 
+use crate::tally::figure;
 use crate::Shared;
 use fernslip::CacheId;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -183,7 +184,9 @@
             let (listed, avoided) = lanes.first().map_or((0, 0), |l| l.dispatcher.listed());
             let view = front.fleet.as_ref().map_or(String::new(), |f| f.lines());
             let figures = front.figures.lines(listed, avoided);
-            format!("200 telemetry\n{figures}{}{view}EOF\n", front.invariants.lines())
+            let (violations, reasons) = (front.invariants.lines(), front.tally.lines());
+            let given_up = given_up(front);
+            format!("200 telemetry\n{figures}{violations}{reasons}{given_up}{view}EOF\n")
         }
         Call::Exclude(id) | Call::Include(id) if lanes.is_empty() => format!("400 unknown {id}\n"),
         Call::Exclude(id) => by_hand(front, &id, true),
@@ -201,6 +204,15 @@
     }
 }
 
+/// What the decisions gave up, by reason: one line each, `relay.given_up.REASON=COUNT`.
+fn given_up(front: &Shared) -> String {
+    let mut all: BTreeMap<&'static str, u64> = BTreeMap::new();
+    for (reason, n) in front.lanes.all().iter().flat_map(|l| l.dispatcher.given_up()) {
+        *all.entry(reason).or_default() += n;
+    }
+    all.iter().map(|(reason, n)| format!("relay.given_up.{}={n}\n", figure(reason))).collect()
+}
+
 /// Takes a node out by hand, or puts it back, in every lane. What is answered with yes is kept for a process that replaces
 /// this one; where it can't be kept nothing changes, and the answer is no.
 fn by_hand(front: &Shared, id: &str, out: bool) -> String {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod log;
 mod spawn;
 pub mod steps;
+pub mod tally;
 pub mod wall;
 
 pub use boxes::{guard, lanes, resp, sending, upstream};
@@ -46,6 +47,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tally::Tally;
 use upstream::{Limits, Upstream, Wait};
 use view::Fleet;
 use wall::WallClock;
@@ -216,6 +218,8 @@
     leaving: AtomicBool,
     /// What is counted for the operators.
     pub figures: figures::Figures,
+    /// Why things happened, by kind and reason.
+    pub tally: Arc<Tally>,
     /// What must hold, and how often it did not.
     pub invariants: Arc<Invariants>,
     /// After a node was told to drain, what goes there may still begin for so long, in milliseconds.
@@ -306,8 +310,8 @@
         idle: config.idle,
         connections: budget.upstream,
     };
-    let invariants = Arc::new(Invariants::default());
-    let upstream = Arc::new(Upstream::new(limits, invariants.clone()));
+    let (invariants, tally) = (Arc::new(Invariants::default()), Arc::new(Tally::default()));
+    let upstream = Arc::new(Upstream::new(limits, invariants.clone(), tally.clone()));
     let peers = match config.peer_listen {
         Some(at) => {
             let bound = bound(at, || Peers::bind(at, config.peers.clone(), config.peers_all))?;
@@ -387,6 +391,7 @@
         listed: AtomicBool::new(false),
         leaving: AtomicBool::new(false),
         figures: figures::Figures::new(classes_named),
+        tally,
         invariants,
         drain_grace_ms: config.settings.drain_grace_ms,
         excluded,
