Extension types are malformed, and a defect gives back what it held

Ruled out: catching the panic alone (the parser would be left in the middle of a message). Change: the measure of a message follows rmp's markers and refuses what no message has; Ended settles a connection when it is dropped; a panic in a request is answered with an error.

--- a/crates/front/src/clients/msgpack_rpc.rs
+++ b/crates/front/src/clients/msgpack_rpc.rs
@@ -1,7 +1,7 @@
 //! MessagePack-RPC as clients speak it: bytes in, messages out. No sockets.
 
-use rmp::decode::{self, bytes::Bytes, LenError, MessageLen};
-use rmp::encode;
+use rmp::decode::{self, bytes::Bytes};
+use rmp::{encode, Marker};
 use std::fmt;
 
 /// A write's 48,000 bytes and the fields, with room to spare; nothing longer is a message. Bounds what one
@@ -61,25 +61,95 @@
     if data.is_empty() {
         return Ok(None);
     }
-    let mut measure = MessageLen::with_limits(MOST_DEPTH, MOST_BYTES);
-    // Measured twice where it is not whole: of a part that breaks the limits, the first measure says only that
-    // more must come. Without the second a client could have bytes held without end.
-    let measured = match measure.incremental_len(data) {
-        Err(LenError::Truncated(_)) => measure.incremental_len(&[]),
-        other => other,
-    };
-    let len = match measured {
-        Ok(len) => len,
-        Err(LenError::Truncated(_)) if data.len() <= MOST_BYTES => return Ok(None),
-        Err(LenError::Truncated(_)) => return Err(RpcError::TooLong),
-        Err(LenError::ParseError) => return Err(RpcError::Invalid),
-    };
-    if len > MOST_BYTES {
-        return Err(RpcError::TooLong);
-    }
+    let Some(len) = measure(data)? else { return Ok(None) };
     message(&data[..len]).map(|m| Some((len, m))).ok_or(RpcError::Shape)
 }
 
+/// What follows a marker: bytes, a length and then so many bytes, a number of values, or a length that numbers values.
+enum Follows {
+    Bytes(usize),
+    BytesBy(usize),
+    Values(usize),
+    ValuesBy(usize, usize),
+}
+
+/// What follows that marker. Extension types and the reserved marker stand in no message; rmp's own measure of a message
+/// panics at the former (0.8.15, `decode/est.rs`).
+fn follows(marker: Marker) -> Result<Follows, RpcError> {
+    Ok(match marker {
+        Marker::FixPos(_) | Marker::FixNeg(_) | Marker::Null | Marker::True | Marker::False => {
+            Follows::Bytes(0)
+        }
+        Marker::U8 | Marker::I8 => Follows::Bytes(1),
+        Marker::U16 | Marker::I16 => Follows::Bytes(2),
+        Marker::U32 | Marker::I32 | Marker::F32 => Follows::Bytes(4),
+        Marker::U64 | Marker::I64 | Marker::F64 => Follows::Bytes(8),
+        Marker::FixStr(n) => Follows::Bytes(n.into()),
+        Marker::Str8 | Marker::Bin8 => Follows::BytesBy(1),
+        Marker::Str16 | Marker::Bin16 => Follows::BytesBy(2),
+        Marker::Str32 | Marker::Bin32 => Follows::BytesBy(4),
+        Marker::FixArray(n) => Follows::Values(n.into()),
+        Marker::Array16 => Follows::ValuesBy(2, 1),
+        Marker::Array32 => Follows::ValuesBy(4, 1),
+        Marker::FixMap(n) => Follows::Values(2 * usize::from(n)),
+        Marker::Map16 => Follows::ValuesBy(2, 2),
+        Marker::Map32 => Follows::ValuesBy(4, 2),
+        Marker::FixExt1 | Marker::FixExt2 | Marker::FixExt4 | Marker::FixExt8 | Marker::FixExt16 => {
+            return Err(RpcError::Invalid)
+        }
+        Marker::Ext8 | Marker::Ext16 | Marker::Ext32 | Marker::Reserved => return Err(RpcError::Invalid),
+    })
+}
+
+/// A length of so many bytes, most significant first.
+fn length(data: &[u8], at: usize, bytes: usize) -> Option<usize> {
+    let digits = data.get(at..at + bytes)?;
+    Some(digits.iter().fold(0, |n, b| n << 8 | usize::from(*b)))
+}
+
+/// The length of the first value, once it is there whole: markers are followed, strings and bytes passed over.
+///
+/// # Errors
+/// It breaks the limits or has a type that no message has, as soon as that shows.
+fn measure(data: &[u8]) -> Result<Option<usize>, RpcError> {
+    let mut at = 0;
+    // How many values are still to come, of each array or map that has begun.
+    let mut to_come = vec![1_usize];
+    while let Some(left) = to_come.last_mut() {
+        if *left == 0 {
+            to_come.pop();
+            continue;
+        }
+        *left -= 1;
+        let Some(byte) = data.get(at) else { return Ok(None) };
+        at += 1;
+        let (bytes, values) = match follows(Marker::from_u8(*byte))? {
+            Follows::Bytes(n) => (n, 0),
+            Follows::Values(n) => (0, n),
+            Follows::BytesBy(size) => match length(data, at, size) {
+                Some(n) => (size + n, 0),
+                None => return Ok(None),
+            },
+            Follows::ValuesBy(size, each) => match length(data, at, size) {
+                Some(n) => (size, n * each),
+                None => return Ok(None),
+            },
+        };
+        at += bytes;
+        // Each value that is still to come has a byte at least.
+        if at + values > MOST_BYTES {
+            return Err(RpcError::TooLong);
+        }
+        if values > 0 {
+            to_come.push(values);
+        }
+        if to_come.len() > MOST_DEPTH + 1 {
+            return Err(RpcError::Invalid);
+        }
+    }
+    Ok((at <= data.len()).then_some(at))
+}
+
 fn message(data: &[u8]) -> Option<Message> {
     let mut rd = Bytes::new(data);
     let parts = decode::read_array_len(&mut rd).ok()?;
--- a/crates/front/src/clients/server.rs
+++ b/crates/front/src/clients/server.rs
@@ -19,6 +19,7 @@
 use fernslip::{Class, Request, RequestId};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -279,7 +280,10 @@
         front.figures.taken();
         let (client, front, ask) = (self.clone(), front.clone(), Arc::new(ask));
         spawn(move || {
-            let answer = relay::serve(&front, &lane, request, &ask, &caller);
+            // A defect costs its own request alone: it is answered, and what it took is given back.
+            let served =
+                catch_unwind(AssertUnwindSafe(|| relay::serve(&front, &lane, request, &ask, &caller)));
+            let answer = served.unwrap_or(Answer::Failed);
             front.server.bodies.fetch_sub(bytes, Ordering::Relaxed);
             client.answer(&front, number, &caller, class, answer);
         });
@@ -377,6 +381,44 @@
     }
 }
 
+/// A connection whose end is settled when this is dropped, also where a defect unwinds its coroutine: a place that is never
+/// given back is lost for good.
+struct Ended<'a> {
+    front: &'a Shared,
+    number: u64,
+    client: &'a Client,
+    peer: SocketAddr,
+    why: Reason,
+}
+
+impl Drop for Ended<'_> {
+    fn drop(&mut self) {
+        let Ended { front, number, client, peer, why } = self;
+        let server = &front.server;
+        client.link.end();
+        lock(&server.clients).remove(number);
+        let (left, taken, leaving) = {
+            let mut open = lock(&client.open);
+            let open = &mut *open;
+            moved(&server.partial, &mut open.partial, 0);
+            (std::mem::take(&mut open.calls), open.taken, std::mem::replace(&mut open.leaving, true))
+        };
+        if leaving {
+            server.leaving.fetch_sub(1, Ordering::Relaxed);
+        }
+        server.held.fetch_sub(1, Ordering::Relaxed);
+        let unanswered = left.len();
+        front.tally.add(Kind::ClientClosed, why.code());
+        front.invariants.check(Invariant::CloseSettled, !why.is_own_choice() || unanswered == 0, || {
+            format!("{peer} closed as {} with {unanswered} calls open", why.code())
+        });
+        tracing::info!(kind = %"client", %peer, reason = %why.code(), taken, unanswered, "end");
+        for call in left.into_values() {
+            call.gone(front);
+        }
+    }
+}
+
 impl Call {
     /// Its client does not wait any more: nothing is begun for it from now on, wherever it waits.
     fn gone(self, front: &Shared) {
@@ -551,29 +593,9 @@
         stream: may::io::CoIo<std::net::TcpStream>,
         peer: SocketAddr,
     ) {
+        let mut ended = Ended { front, number, client, peer, why: Reason::Defect };
         client.link.up(Stream::Taken(stream));
-        let why = client.link.run(|buffer| client.take(front, buffer), |why| client.stays(front, why));
-        client.link.end();
-        lock(&self.clients).remove(&number);
-        let (left, taken, leaving) = {
-            let mut open = lock(&client.open);
-            let open = &mut *open;
-            moved(&self.partial, &mut open.partial, 0);
-            (std::mem::take(&mut open.calls), open.taken, std::mem::replace(&mut open.leaving, true))
-        };
-        if leaving {
-            self.leaving.fetch_sub(1, Ordering::Relaxed);
-        }
-        self.held.fetch_sub(1, Ordering::Relaxed);
-        let unanswered = left.len();
-        front.tally.add(Kind::ClientClosed, why.code());
-        front.invariants.check(Invariant::CloseSettled, !why.is_own_choice() || unanswered == 0, || {
-            format!("{peer} closed as {} with {unanswered} calls open", why.code())
-        });
-        tracing::info!(kind = %"client", %peer, reason = %why.code(), taken, unanswered, "end");
-        for call in left.into_values() {
-            call.gone(front);
-        }
+        ended.why = client.link.run(|buffer| client.take(front, buffer), |why| client.stays(front, why));
     }
 
     /// Closes connections that nobody uses; all that are idle where the front is ending.
--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -90,6 +90,8 @@
     NoDescriptor,
     /// The other side's numbers begin anew.
     Renumbered,
+    /// A defect of this program ended what served it.
+    Defect,
     /// This machine had no port, buffer, memory or route for it.
     NoRoute,
 }
@@ -125,6 +127,7 @@
             Reason::Moved => "moved",
             Reason::NoDescriptor => "no_descriptor",
             Reason::Renumbered => "renumbered",
+            Reason::Defect => "defect",
             Reason::NoRoute => "no_route",
         }
     }
--- a/crates/rig/src/soak/clients.rs
+++ b/crates/rig/src/soak/clients.rs
@@ -213,7 +213,8 @@
             let Ok(Ok(mut stream)) = timeout(Duration::from_secs(1), TcpStream::connect(at)).await else {
                 continue;
             };
-            let trace = TRACES.fetch_add(1, Ordering::Relaxed);
+            // Traces of its own for each of its calls.
+            let trace = TRACES.fetch_add(MOST_OPEN as u64, Ordering::Relaxed);
             let class = &self.dice.one(&self.classes).name;
             let whole = call(1, class, trace, self.dice.number(0..OBJECTS), 0, 2_000, 0);
             let bytes = match self.dice.number(0..6) {
