--- a/crates/front/src/boxes/upstream.rs
+++ b/crates/front/src/boxes/upstream.rs
@@ -17,6 +17,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -398,6 +399,26 @@
     })
 }
 
+/// Brings a connection up and reads its answers until it ends: why that was, and what becomes of an attempt on it that was
+/// not written whole.
+fn serve(addr: SocketAddr, timeout: Duration, conn: &Conn) -> (Reason, Ending) {
+    match dial(addr, timeout, conn) {
+        Ok((stream, handshake)) => {
+            lock(&conn.open).handshake = handshake;
+            conn.link.up(stream);
+            let why = conn.link.run(|b| conn.answers(b), |_| false);
+            (why, Ending::Retracted)
+        }
+        Err(e) if e.kind() == ErrorKind::TimedOut => (Reason::ConnectTimeout, Ending::RefusedConn),
+        // This front's own want: nothing to hold against the node.
+        Err(e) => match Failure::of(&e) {
+            Failure::Descriptors => (Reason::NoDescriptor, Ending::Retracted),
+            Failure::Machine | Failure::Again => (Reason::NoRoute, Ending::Retracted),
+            Failure::Remote => (Reason::Refused, Ending::RefusedConn),
+        },
+    }
+}
+
 /// Closes the connection that has been idle for longest, to make a place; whether there is one.
 fn close_idlest(nodes: &HashMap<CacheId, Node>) -> bool {
     let all = nodes.values().flat_map(|node| &node.conns);
@@ -618,21 +639,9 @@
         let (dialled, addr) = (conn.clone(), node.addr);
         let (name, count, tally) = (a.cache.clone(), self.connections.clone(), self.tally.clone());
         spawn(move || {
-            let (why, unwritten) = match dial(addr, timeout, &dialled) {
-                Ok((stream, handshake)) => {
-                    lock(&dialled.open).handshake = handshake;
-                    dialled.link.up(stream);
-                    let why = dialled.link.run(|b| dialled.answers(b), |_| false);
-                    (why, Ending::Retracted)
-                }
-                Err(e) if e.kind() == ErrorKind::TimedOut => (Reason::ConnectTimeout, Ending::RefusedConn),
-                // This front's own want: nothing to hold against the node.
-                Err(e) => match Failure::of(&e) {
-                    Failure::Descriptors => (Reason::NoDescriptor, Ending::Retracted),
-                    Failure::Machine | Failure::Again => (Reason::NoRoute, Ending::Retracted),
-                    Failure::Remote => (Reason::Refused, Ending::RefusedConn),
-                },
-            };
+            // A defect costs this connection: its attempts end, and its place is given back.
+            let ended = catch_unwind(AssertUnwindSafe(|| serve(addr, timeout, &dialled)));
+            let (why, unwritten) = ended.unwrap_or((Reason::Defect, Ending::Retracted));
             dialled.lost(unwritten);
             count.fetch_sub(1, Ordering::Relaxed);
             let asked = lock(&dialled.open).asked;
--- a/crates/front/src/control/bus.rs
+++ b/crates/front/src/control/bus.rs
@@ -17,6 +17,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -327,7 +328,12 @@
     pub fn run(&self, front: &Shared, mut history: History) {
         for n in 0.. {
             let addr = lock(&self.state).addr;
-            let why = self.follow(front, addr, &mut history);
+            // A defect costs this connection, not the watch: without one the front would hear of no change any more.
+            let followed = catch_unwind(AssertUnwindSafe(|| self.follow(front, addr, &mut history)));
+            let why = followed.unwrap_or_else(|_| {
+                lock(&self.state).link.end();
+                Reason::Defect
+            });
             let offset = history.offset();
             front.tally.add(Kind::BusClosed, why.code());
             // Lines and events that could not be used, since the start.
