A purge is dated by its arrival where the clocks of front and bus differ

Lines: wall.rs, when; bus.rs, apply. Also the rig's own: a connection of the killed process counted lines as told to the new one. Change: a date before the bus's last line, or before it said anything, is not believed; starts of nodes are remembered beyond their leaving. Measured: front and cli tests pass.

--- a/crates/front/src/control/bus.rs
+++ b/crates/front/src/control/bus.rs
@@ -30,6 +30,8 @@
 const MOST_SILENCE: Duration = Duration::from_millis(5000);
 /// What the bus has to tell is told that long after it happened at the latest, by the protocol.
 const TOLD_WITHIN_MS: f64 = 7_000.0;
+/// Starts of nodes that are remembered: more than the largest fleet has at once.
+const MOST_STARTS: usize = 8192;
 /// Between the end of a connection and the next, on average; each front's own times are spread by half.
 const RETRY: Duration = Duration::from_millis(200);
 /// The whole list of the largest deployment is a small part of this.
@@ -118,19 +120,21 @@
         match all.get(id) {
             Some((told, start)) if *told == unix_ms => *start,
             _ => {
-                let start = wall.when(unix_ms, not_before.map(|at| at - TOLD_WITHIN_MS)).max(1.0);
+                let start =
+                    wall.when(unix_ms, not_before.map_or(f64::MIN, |at| at - TOLD_WITHIN_MS)).max(1.0);
                 all.insert(id.clone(), (unix_ms, start));
                 start
             }
         }
     }
 
-    fn forget(&self, id: &CacheId) {
-        lock(&self.0).remove(id);
-    }
-
-    fn keep_only(&self, ids: &[CacheId]) {
-        lock(&self.0).retain(|id, _| ids.contains(id));
+    /// Where very many have come and gone, those that are not listed are forgotten. One that returns with the same number
+    /// has not started since, so that it is remembered as long as there is room.
+    fn bound(&self, is_listed: impl Fn(&CacheId) -> bool) {
+        let mut all = lock(&self.0);
+        if all.len() > MOST_STARTS {
+            all.retain(|id, _| is_listed(id));
+        }
     }
 }
 
@@ -141,8 +145,9 @@
     match event {
         Event::Other => {}
         Event::Purge { object, group, unix_ms } => {
-            let at = front.wall.when(unix_ms, since);
+            // Before the bus has said anything nothing bounds the date: the careful answer is now.
             let now = clock.now();
+            let at = front.wall.when(unix_ms, since.unwrap_or(now));
             for lane in front.lanes.all() {
                 lane.dispatcher.purged(now, object, group, now - at);
             }
@@ -161,10 +166,7 @@
             for (mut e, addr) in servers {
                 e.born_ms = front.bus.starts.learn(&front.wall, &e.cache, e.born_ms, since);
                 match (e.phase, addr) {
-                    (Phase::Out, _) => {
-                        front.bus.starts.forget(&e.cache);
-                        front.upstream.drop_node(&e.cache);
-                    }
+                    (Phase::Out, _) => front.upstream.drop_node(&e.cache),
                     (_, Some(addr)) => front.upstream.know(e.cache.clone(), addr, e.born_ms),
                     (_, None) => tracing::warn!("bus: {} has no address", e.cache.0),
                 }
@@ -172,10 +174,11 @@
             }
             if full {
                 let ids: Vec<CacheId> = entries.iter().map(|e| e.cache.clone()).collect();
-                front.bus.starts.keep_only(&ids);
                 front.upstream.keep_only(&ids);
             }
             front.lanes.list(clock, full, entries);
+            let lanes = front.lanes.all();
+            front.bus.starts.bound(|id| lanes.iter().any(|l| l.dispatcher.is_listed(id)));
             if full {
                 front.listed.store(true, std::sync::atomic::Ordering::Release);
             }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -455,7 +455,9 @@
     let f = front.clone();
     spawn(move || loop {
         let next = f.lanes.all().iter().filter_map(|l| l.tick(&f.clock)).reduce(f64::min);
-        steps::sleep(next.map_or(TICK, |at| f.clock.until(at).clamp(Duration::from_millis(1), TICK)));
+        // The decisions and what they want of the host stand behind locks.
+        let wait = next.map_or(TICK, |at| f.clock.until(at).clamp(Duration::from_millis(1), TICK));
+        steps::sleep_beside_the_worker(wait);
     });
     let housekeeper = may::go!(move || {
         keep_house(&front, &leave, reload, Ending::of(longest, origin), &waker);
--- a/crates/front/src/steps.rs
+++ b/crates/front/src/steps.rs
@@ -32,6 +32,16 @@
 
 /// Waits for that long.
 pub fn sleep(long: Duration) {
+    wait(long, back_to_the_worker);
+}
+
+/// Waits for that long, and goes on on may's timer thread, beside the worker. Only for what is guarded by locks alone: it
+/// spares the worker a wake at each end.
+pub fn sleep_beside_the_worker(long: Duration) {
+    wait(long, || {});
+}
+
+fn wait(long: Duration, after_each_step: impl Fn()) {
     let until = Instant::now() + long;
     loop {
         let left = until.saturating_duration_since(Instant::now());
@@ -40,7 +50,7 @@
         }
         #[expect(clippy::disallowed_methods, reason = "the one place that knows of its lengths")]
         may::coroutine::sleep(step(left));
-        back_to_the_worker();
+        after_each_step();
     }
 }
 
--- a/crates/front/src/wall.rs
+++ b/crates/front/src/wall.rs
@@ -3,7 +3,8 @@
 //! A step is noticed by comparing the wall clock with the monotonic one, at each use and every 100 ms. Once there was one, no
 //! Unix time can be trusted: it may be from before the step, or from a machine that was not stepped. What it dates is then
 //! taken to have happened in this moment, which is the careful answer for purges and for starts of nodes alike. So is what
-//! lies in the future. A bound from elsewhere (when the discovery watch last said something) holds in any case.
+//! lies in the future, and what is dated before the discovery watch last said something, after which it was told: there the
+//! clocks of the two machines differ.
 
 use crate::clock::Clock;
 use crate::link::lock;
@@ -56,16 +57,20 @@
     }
 
     /// When, in module time, something happened that is dated `unix_ms` and arrives now. It is known not to have happened
-    /// before `not_before`, in module time.
-    pub fn when(&self, unix_ms: f64, not_before: Option<f64>) -> f64 {
+    /// before `not_before`, in module time: a date that says otherwise is of a clock that differs from this one.
+    pub fn when(&self, unix_ms: f64, not_before: f64) -> f64 {
         self.when_at(unix_ms, not_before, self::unix_ms())
     }
 
-    fn when_at(&self, unix_ms: f64, not_before: Option<f64>, wall_ms: f64) -> f64 {
+    fn when_at(&self, unix_ms: f64, not_before: f64, wall_ms: f64) -> f64 {
         let stepped = self.compare(wall_ms) > 0;
         let now = self.clock.now();
-        let age_ms = if stepped { 0.0 } else { (wall_ms - unix_ms).max(0.0) };
-        (now - age_ms).max(not_before.unwrap_or(f64::MIN)).min(now)
+        let dated = now - (wall_ms - unix_ms).max(0.0);
+        if stepped || dated < not_before {
+            now
+        } else {
+            dated
+        }
     }
 }
 
--- a/crates/rig/src/soak/bus.rs
+++ b/crates/rig/src/soak/bus.rs
@@ -173,6 +173,7 @@
         let from = asked.trim().strip_prefix("from ").and_then(|n| n.parse::<usize>().ok());
         let mut next = from.ok_or_else(|| std::io::Error::other("not `from N`"))?;
         let (mut news, mut mode) = (self.news.subscribe(), self.mode.subscribe());
+        let asked_in = lock(&self.feed).generation;
         loop {
             let behaves = *mode.borrow_and_update();
             if behaves == Mode::Mute {
@@ -185,6 +186,10 @@
                 let lines = feed.events.iter().enumerate().skip(next).map(|(i, e)| (i + 1, e.text.clone()));
                 (feed.generation, lines.collect::<Vec<_>>())
             };
+            // Its front has started anew: what is written here reaches nobody.
+            if generation != asked_in {
+                return Ok(());
+            }
             for (number, line) in lines {
                 self.write_line(&mut write, &line, behaves).await?;
                 self.is_told(generation, number);
