--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -10,6 +10,7 @@
         seed,
         lasts: Duration::from_secs(5),
         a_second: 8.0,
+        logs: None,
         calm,
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
--- a/crates/rig/src/soak/bus.rs
+++ b/crates/rig/src/soak/bus.rs
@@ -9,10 +9,12 @@
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// A line comes at least so often.
 const HEARTBEAT: Duration = Duration::from_secs(1);
+/// The end of a connection that its front has closed shows within this.
+const ON_ITS_WAY: Duration = Duration::from_millis(30);
 /// What the bus has to tell counts as told after this.
 const TOLD_ANYWAY: Duration = Duration::from_secs(7);
 /// Addresses of the bus for each front: a new configuration names another.
@@ -168,8 +170,8 @@
     async fn tell(&self, stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let (read, mut write) = stream.into_split();
-        let mut asked = String::new();
-        BufReader::new(read).read_line(&mut asked).await?;
+        let (mut asked, mut read) = (String::new(), BufReader::new(read));
+        read.read_line(&mut asked).await?;
         let from = asked.trim().strip_prefix("from ").and_then(|n| n.parse::<usize>().ok());
         let mut next = from.ok_or_else(|| std::io::Error::other("not `from N`"))?;
         let (mut news, mut mode) = (self.news.subscribe(), self.mode.subscribe());
@@ -190,11 +192,18 @@
             if generation != asked_in {
                 return Ok(());
             }
+            let before = next;
             for (number, line) in lines {
                 self.write_line(&mut write, &line, behaves).await?;
-                self.is_told(generation, number);
                 next = number;
             }
+            // What was written to a connection that its front has closed was told to nobody.
+            if next > before {
+                if timeout(ON_ITS_WAY, read.read_line(&mut asked)).await.is_ok() {
+                    return Ok(());
+                }
+                (before + 1..=next).for_each(|number| self.is_told(generation, number));
+            }
             tokio::select! {
                 _ = news.changed() => {}
                 _ = mode.changed() => {}
--- a/crates/rig/src/soak/process.rs
+++ b/crates/rig/src/soak/process.rs
@@ -5,6 +5,7 @@
 use crate::shim::Faults;
 use rustix::process::{kill_process, Pid, Signal};
 use std::collections::VecDeque;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Stdio;
@@ -88,6 +89,8 @@
     pub standing: Arc<Standing>,
     /// What fails under it.
     pub faults: Faults,
+    /// Where its log is kept; `None`: nowhere.
+    pub log_file: Option<PathBuf>,
     folder: PathBuf,
     program: PathBuf,
     child: Option<Child>,
@@ -114,6 +117,7 @@
             admin,
             standing: Arc::default(),
             faults,
+            log_file: None,
             folder,
             program,
             child: None,
@@ -148,6 +152,8 @@
             .kill_on_drop(true);
         let mut child = command.spawn()?;
         let (log, judge, number) = (self.log.clone(), self.judge.clone(), self.number);
+        let options = std::fs::OpenOptions::new().append(true).create(true).clone();
+        let mut file = self.log_file.as_ref().map(|f| options.open(f)).transpose()?;
         if let Some(err) = child.stderr.take() {
             tokio::spawn(async move {
                 let mut lines = BufReader::new(err).lines();
@@ -155,6 +161,9 @@
                     if line.contains(" violation ") || line.contains("panicked") {
                         judge.breach(Rule::Counted, format!("front {number}: {line}"));
                     }
+                    if let Some(file) = &mut file {
+                        let _ = writeln!(file, "{line}");
+                    }
                     let mut log = lock(&log);
                     if log.len() == MOST_LINES {
                         log.pop_front();
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -56,6 +56,8 @@
     pub lasts: Duration,
     /// Requests a second, at each front.
     pub a_second: f64,
+    /// A folder for the fronts' logs; `None`: they are not kept.
+    pub logs: Option<PathBuf>,
     /// No trouble at all: what the soak itself costs.
     pub calm: bool,
 }
@@ -356,7 +358,10 @@
         let (clients, mut admin) = (ground.clients(front), ground.clients(front));
         admin.set_port(admin.port() + 1);
         let at = [clients, admin];
-        let process = Process::new(front, at, own, options.program.clone(), faults, judge.clone(), longest);
+        let mut process =
+            Process::new(front, at, own, options.program.clone(), faults, judge.clone(), longest);
+        process.log_file =
+            options.logs.as_ref().map(|dir| dir.join(format!("{}-n{front}.log", options.seed)));
         fronts.push(tokio::sync::Mutex::new(process));
     }
     let clients = Clients::new(classes, options.seed, judge.clone());
