Tests of what may still begin after news, and of two threads at one node

Cause: the guard for sending and the dispatcher's one lock were forced by the front's tests alone. Change: two tests of the facade.

--- a/crates/fernslip/tests/facade.rs
+++ b/crates/fernslip/tests/facade.rs
@@ -131,3 +131,53 @@
     d.heard(1000.0, 1, vec![2, 1, 1]);
     assert_eq!(*d.host().0.lock().unwrap(), ["tell 1 [2, 1, 0]"], "a greeting that asks is answered");
 }
+
+/// An attempt that was decided on and has not begun is told from one that may still begin: by a drain, a node out by hand, a
+/// purge of what it asks for, and its client's leaving. The next attempt is decided with all of it known.
+#[test]
+fn what_was_decided_on_before_the_news_may_not_begin() {
+    let begins = |d: &Dispatcher<Notes>, a: &Attempt| d.is_served(a) && d.is_wanted(a);
+    let d = ready();
+    let first = attempt(d.pick(1000.0, ask(1)));
+    assert!(begins(&d, &first));
+    d.purged(1001.0, Some(ObjectId(10)), 0, 1.0);
+    assert!(begins(&d, &first), "another object");
+    d.purged(1001.0, Some(ObjectId(9)), 0, 1.0);
+    assert!(!begins(&d, &first), "purged");
+    let second = attempt(d.report(1002.0, ended(&first, Ending::Retracted)));
+    assert!(begins(&d, &second), "decided on with the purge in it");
+    let mut draining = fleet();
+    draining.iter_mut().filter(|e| e.cache == second.cache).for_each(|e| e.phase = Phase::Draining);
+    d.list(1003.0, ListKind::Delta, draining);
+    assert!(!begins(&d, &second), "draining");
+    assert_eq!(d.out_of_service_since(&second.cache), Some(1003.0));
+    let third = attempt(d.report(1004.0, ended(&second, Ending::Retracted)));
+    assert!(begins(&d, &third));
+    assert!(d.exclude(1005.0, &third.cache));
+    assert!(!begins(&d, &third), "out by hand");
+    assert!(d.include(1006.0, &third.cache) && begins(&d, &third));
+    d.gone(1007.0, RequestId(1));
+    assert!(!begins(&d, &third), "its client has left");
+}
+
+/// Two threads, as the operators' and the watch's are: a node that is put back by hand while the list says that it drains is
+/// never sent anything, whichever comes first.
+#[test]
+fn a_node_put_back_while_the_list_drains_it_is_not_used() {
+    for round in 0..300 {
+        let d = ready();
+        let node = attempt(d.pick(1000.0, ask(1))).cache;
+        assert!(d.exclude(1001.0, &node));
+        let mut drains = fleet();
+        drains.retain(|e| e.cache == node);
+        drains[0].phase = Phase::Draining;
+        std::thread::scope(|threads| {
+            threads.spawn(|| d.include(1002.0, &node));
+            threads.spawn(|| d.list(1002.0, ListKind::Delta, drains));
+        });
+        for n in 2..6 {
+            let next = attempt(d.pick(1003.0, ask(n)));
+            assert_ne!(next.cache, node, "round {round}");
+        }
+    }
+}
