--- a/crates/rig/src/soak/judge.rs
+++ b/crates/rig/src/soak/judge.rs
@@ -294,7 +294,7 @@
         Some(asked)
     }
 
-    /// To be asked [`ORDER`] after an attempt came: whether another of that request was out all the while.
+    /// To be asked as soon as an attempt has come; it answers a moment later: whether another of that request was out all the while.
     pub async fn compare(&self, node: usize, conn: u64, trace: u64) {
         let other = |seen: &Seen| {
             let out = &seen.requests.get(&trace)?.out;
