--- a/crates/fernslip/src/facade.rs
+++ b/crates/fernslip/src/facade.rs
@@ -473,7 +473,7 @@
 
     /// What was given up since the start, by cause.
     pub fn given_up(&self) -> Vec<(&'static str, u64)> {
-        self.lock().router.given_up().iter().map(|(why, n)| (*why, *n)).collect()
+        self.lock().router.given_up.totals().iter().map(|(why, n)| (*why, *n)).collect()
     }
 
     /// How many requests are open.
--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -107,7 +107,7 @@
     first: [f64; 3],
     fills: Gate,
     turned: Turned,
-    given_up: GivenUp,
+    pub(crate) given_up: GivenUp,
     since_sync: u32,
     mates: Mates,
     retries: f64,
@@ -995,11 +995,6 @@
         self.odd
     }
 
-    /// What was given up since the start, by cause.
-    pub fn given_up(&self) -> &BTreeMap<&'static str, u64> {
-        self.given_up.totals()
-    }
-
     /// How many requests, purges and untold filter changes are held: for watching memory.
     pub fn held(&self) -> (usize, usize, usize) {
         (self.reqs.len(), self.purges.len(), self.caches.values().map(|c| c.changes.len()).sum())
