Front: metrics for the time between passes of the main loop and for yields while reading

Cause: nothing showed from outside how long the worker thread kept a coroutine waiting.

Change: `relay.main_loop.since_last_pass_ms`, `relay.main_loop.longest_gap_ms` and `relay.event_loop.yields` in `telemetry`, and a warning after a gap of over 0.5 s. Behaviour is unchanged.

--- a/crates/front/src/control/admin/answer.rs
+++ b/crates/front/src/control/admin/answer.rs
@@ -2,10 +2,12 @@
 
 use super::command::AdminCommand;
 use super::exclusions::{self, ExclusionChange};
+use crate::event_loop;
 use crate::reason_counts::metric_name;
 use crate::shared::SharedState;
 use fernslip::facade::EndpointCounts;
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 /// Executes an admin command and returns the lines of its answer.
 pub fn execute_command(front: &SharedState, command: AdminCommand) -> String {
@@ -40,7 +42,8 @@
     let counters = front.metrics.metric_lines(listed, draining);
     let (violations, reasons) = (front.invariants.metric_lines(), front.reason_counts.metric_lines());
     let rejections = rejection_lines(front);
-    format!("200 telemetry\n{counters}{violations}{reasons}{rejections}{view}EOF\n")
+    let worker = event_loop::metric_line() + &front.main_loop_passes.metric_lines(Instant::now());
+    format!("200 telemetry\n{counters}{violations}{reasons}{rejections}{worker}{view}EOF\n")
 }
 
 /// Returns the number of requests rejected for each reason, summed over the dispatch queues, as lines
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -15,6 +15,7 @@
 pub use write_queue::{SendGate, WriteDecision};
 
 use crate::buffer::Buffer;
+use crate::event_loop;
 use crate::failure::Failure;
 use crate::log::Reason;
 use crate::sleep;
@@ -291,7 +292,7 @@
                 read_since_yield += n;
                 if read_since_yield > READ_QUANTUM {
                     read_since_yield = 0;
-                    may::coroutine::yield_now();
+                    event_loop::yield_to_sockets();
                 }
             }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
--- a/crates/front/src/main_loop.rs
+++ b/crates/front/src/main_loop.rs
@@ -66,6 +66,7 @@
             } else {
                 SWEEP_INTERVAL
             });
+            self.front.main_loop_passes.record_pass(Instant::now());
             self.report_drops();
             self.front.wall_clock.check_for_step();
             self.front.upstream.sweep();
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -6,6 +6,7 @@
 use crate::invariants::Invariants;
 use crate::manual_exclusion::ManualExclusions;
 use crate::metrics::Metrics;
+use crate::pass_times::PassTimes;
 use crate::peers::Peers;
 use crate::reason_counts::ReasonCounts;
 use crate::server::Server;
@@ -51,6 +52,8 @@
     pub(crate) shutting_down: AtomicBool,
     /// The counters of the admin interface.
     pub metrics: Metrics,
+    /// When the main loop ran.
+    pub main_loop_passes: PassTimes,
     /// Counters of closed connections, retries and the like, by kind and reason.
     pub reason_counts: Arc<ReasonCounts>,
     /// The invariants that are checked at run time, with their violation counts.
--- a/crates/front/src/startup.rs
+++ b/crates/front/src/startup.rs
@@ -18,6 +18,7 @@
 use crate::main_loop::MainLoop;
 use crate::manual_exclusion::ManualExclusions;
 use crate::metrics::Metrics;
+use crate::pass_times::PassTimes;
 use crate::peers::Peers;
 use crate::plan::Plan;
 use crate::reason_counts::ReasonCounts;
@@ -38,7 +39,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The number of worker threads that run coroutines; a front is given one core.
 const WORKER_THREADS: usize = 1;
@@ -284,6 +285,7 @@
         endpoints_listed: AtomicBool::new(false),
         shutting_down: AtomicBool::new(false),
         metrics: Metrics::new(class_names),
+        main_loop_passes: PassTimes::new(Instant::now()),
         reason_counts,
         invariants,
         drain_grace_ms: config.settings.drain_grace_ms,
