Front: a socket with input without end no longer stalls the others

Cause: `receive_available` reads until the socket is empty, and its `yield_now` only puts the coroutine back into the worker's queue. The worker polls sockets and collects expired timers when that queue is empty, so never.

Ruled out: no yield at all, a shared lock (telemetry answered at once), the log and timer threads (waiting in all samples).

Change: after 32 messages or 256 KB a coroutine waits until the worker has polled (`event_loop.rs`, an event descriptor). The same for cache nodes, event bus, peers' and gossip's datagrams and accepting. A requested close is looked at after each quantum. The end of a shutdown counts from the pass before SIGTERM was noticed. `may`'s own `yield_now` is a disallowed method. `wait_for_log` of the tests has one time limit over all lines, not one a line.

Why it works: between two quanta of one connection the worker has polled, and runs all that the poll reported.

--- a/crates/cli/tests/common/scripted.rs
+++ b/crates/cli/tests/common/scripted.rs
@@ -260,10 +260,11 @@
     }
 
     pub fn wait_for_log(&mut self, text: &str) -> String {
+        let deadline = Instant::now() + STEP_TIMEOUT;
         loop {
             let line = self
                 .lines
-                .recv_timeout(STEP_TIMEOUT)
+                .recv_timeout(deadline.saturating_duration_since(Instant::now()))
                 .unwrap_or_else(|e| panic!("no log line contains {text:?}: {e}"));
             if line.contains(text) {
                 return line;
--- a/crates/front/src/clients/connection.rs
+++ b/crates/front/src/clients/connection.rs
@@ -4,6 +4,7 @@
 use super::forward::{self, Answer};
 use super::msgpack_rpc::{self as rpc, Fields, Message};
 use crate::buffer::Buffer;
+use crate::event_loop::Quantum;
 use crate::invariants::Invariant;
 use crate::link::Link;
 use crate::log::Reason;
@@ -287,7 +288,8 @@
         }
     }
 
-    /// Handles all complete messages in the buffer and accounts for the bytes of an incomplete one.
+    /// Handles the complete messages in the buffer until the quantum is used up, and accounts for the bytes
+    /// of an incomplete one.
     ///
     /// # Errors
     /// The client broke the protocol; the connection ends for that reason.
@@ -295,9 +297,17 @@
         self: &Arc<Self>,
         front: &Arc<SharedState>,
         buffer: &mut Buffer,
+        quantum: &mut Quantum,
     ) -> Result<(), Reason> {
         let mut received = false;
-        while let Some((len, message)) = rpc::parse_message(buffer.data()).map_err(|_| Reason::Malformed)? {
+        let mut all_handled = false;
+        while !quantum.is_used_up() {
+            let parsed = rpc::parse_message(buffer.data()).map_err(|_| Reason::Malformed)?;
+            let Some((len, message)) = parsed else {
+                all_handled = true;
+                break;
+            };
+            quantum.count_message();
             received = true;
             buffer.consume(len);
             match message {
@@ -314,7 +324,8 @@
             open.partial_since = None;
             open.idle_since = open.idle_since.map(|_| now);
         }
-        let partial = buffer.data().len();
+        // What follows the last message of a quantum may be complete; the next quantum accounts for it.
+        let partial = if all_handled { buffer.data().len() } else { 0 };
         open.partial_since = (partial > 0).then(|| open.partial_since.unwrap_or(now));
         let total = replace_contribution(&front.server.partial, &mut open.partial, partial);
         drop(open);
--- a/crates/front/src/clients/server.rs
+++ b/crates/front/src/clients/server.rs
@@ -4,6 +4,7 @@
 use super::connection::{ClientConnection, ConnectionCleanup};
 use super::msgpack_rpc as rpc;
 use crate::budget::Budget;
+use crate::event_loop::Quantum;
 use crate::failure::Failure;
 use crate::link::Stream;
 use crate::listen::{Listener, Origin};
@@ -118,7 +119,9 @@
     /// client gets an answer.
     pub fn accept_clients(&self, front: &Arc<SharedState>, listener: Listener, origin: Origin) {
         let mut pause = DESCRIPTOR_BACKOFF[0];
+        let mut quantum = Quantum::default();
         loop {
+            quantum.count_message_or_yield();
             // Wait until closing connections have released their descriptors.
             while self.descriptors.load(Ordering::Relaxed)
                 >= self.budget.clients + self.budget.closing + CLOSING_RESERVE
@@ -183,9 +186,10 @@
     ) {
         let mut ended = ConnectionCleanup { front, number, client, peer, why: Reason::Panicked };
         client.link.attach(Stream::Std(stream));
-        ended.why = client
-            .link
-            .run(|buffer| client.read_messages(front, buffer), |why| client.stays_open(front, why));
+        ended.why = client.link.run(
+            |buffer, quantum| client.read_messages(front, buffer, quantum),
+            |why| client.stays_open(front, why),
+        );
     }
 
     /// Closes connections that have timed out, and all idle ones if the front is ending or being evacuated
--- a/crates/front/src/control/discovery_watch.rs
+++ b/crates/front/src/control/discovery_watch.rs
@@ -5,6 +5,7 @@
 use super::watch_event::{ListedNode, WatchEvent};
 use crate::buffer::Buffer;
 use crate::clock::Clock;
+use crate::event_loop::Quantum;
 use crate::failure::Failure;
 use crate::link::Link;
 use crate::log::Reason;
@@ -121,7 +122,7 @@
     Ok(())
 }
 
-/// Processes the complete lines in the buffer, whose first `scanned` bytes are known to contain no line end.
+/// Processes the complete lines in the buffer until the quantum is used up. The buffer's first `scanned` bytes are known to contain no line end.
 /// Returns whether any line proves that the bus is alive; partial and blank lines do not.
 ///
 /// # Errors
@@ -132,16 +133,22 @@
     buffer: &mut Buffer,
     history: &mut WatchHistory,
     scanned: &mut usize,
+    quantum: &mut Quantum,
 ) -> Result<bool, Reason> {
     let mut proves_liveness = false;
-    while let Some(at) = buffer.data()[*scanned..].iter().position(|b| *b == b'\n') {
+    while !quantum.is_used_up() {
+        let line_end = buffer.data()[*scanned..].iter().position(|b| *b == b'\n');
+        let Some(at) = line_end else {
+            *scanned = buffer.data().len();
+            break;
+        };
+        quantum.count_message();
         let end = *scanned + at;
         receive_line(front, history, &buffer.data()[..end])?;
         proves_liveness |= !buffer.data()[..end].iter().all(u8::is_ascii_whitespace);
         buffer.consume(end + 1);
         *scanned = 0;
     }
-    *scanned = buffer.data().len();
     if *scanned > MAX_LINE_BYTES {
         return Err(Reason::Malformed);
     }
@@ -252,8 +259,8 @@
         link.attach(stream);
         link.send(format!("from {}\n", history.offset()).into_bytes(), None);
         let (mut scanned, mut has_received) = (0, false);
-        let receive = |buffer: &mut Buffer| {
-            if receive_lines(front, buffer, history, &mut scanned)? {
+        let receive = |buffer: &mut Buffer, quantum: &mut Quantum| {
+            if receive_lines(front, buffer, history, &mut scanned, quantum)? {
                 let mut state = lock(&self.state);
                 (state.last_received, state.last_line) = (Some(Instant::now()), Some(Instant::now()));
                 state.silence_timeout = SILENCE_TIMEOUT;
--- a/crates/front/src/control/gossip.rs
+++ b/crates/front/src/control/gossip.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Clock;
 use crate::control::evidence::{EvidenceQueue, QueuedEvidence};
+use crate::event_loop::Quantum;
 use crate::sync::lock;
 use crate::upstream::dispatch_queue::DispatchQueue;
 use crate::view::ViewService;
@@ -154,7 +155,9 @@
     /// Receives and handles datagrams for as long as the process runs.
     pub fn listen(&self, queues: &[Arc<DispatchQueue>]) {
         let mut data = [0; MAX_DATAGRAM_BYTES + 1];
+        let mut quantum = Quantum::default();
         loop {
+            quantum.count_message_or_yield();
             match self.socket.recv_from(&mut data) {
                 Ok((n, from)) => {
                     self.handle_event(queues, Event::Datagram { from, bytes: data[..n].to_vec() });
--- a/crates/front/src/control/peers.rs
+++ b/crates/front/src/control/peers.rs
@@ -1,5 +1,6 @@
 //! The datagrams between the fronts of a tier: short messages that their dispatchers exchange.
 
+use crate::event_loop::Quantum;
 use may::io::{CoIo, WaitIo};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::ErrorKind;
@@ -78,7 +79,9 @@
     /// as the process runs. Datagrams that no peer sent are counted and dropped.
     pub fn run(&self, deliver: impl Fn(u32, &[u8])) {
         let mut data = [0; MAX_DATAGRAM_BYTES + 1];
+        let mut quantum = Quantum::default();
         loop {
+            quantum.count_message_or_yield();
             let Ok((n, from)) = self.receive_datagram(&mut data) else {
                 // The error concerns one datagram, for example an unreachable port; later ones may succeed.
                 crate::sleep::sleep(RECEIVE_ERROR_PAUSE);
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -5,7 +5,7 @@
 //! blocks nobody else. A socket of the `may` crate wakes only one waiting coroutine, so reading and writing
 //! share one wait.
 //!
-//! Only [`Link::run`] yields. No lock is held across a yield; the socket's lock is released before the
+//! Only [`Link::run`] yields, also to the other sockets after each quantum of input. No lock is held across a yield; the socket's lock is released before the
 //! queue's is taken.
 
 mod stream;
@@ -15,7 +15,7 @@
 pub use write_queue::{SendGate, WriteDecision};
 
 use crate::buffer::Buffer;
-use crate::event_loop;
+use crate::event_loop::{self, Quantum};
 use crate::failure::Failure;
 use crate::log::Reason;
 use crate::sleep;
@@ -28,8 +28,6 @@
 use std::time::{Duration, Instant};
 use write_queue::{Close, Flush, WriteQueue};
 
-/// Number of bytes read from one connection before other coroutines run.
-const READ_QUANTUM: usize = 256 * 1024;
 /// Longest time for which a graceful close reads on: many round trips, and the 50 ms within which a
 /// request that the other side sent before it noticed the close may still arrive.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -189,16 +187,18 @@
     }
 
     /// Reads and writes until the connection ends; returns the reason. `receive` is given the buffer
-    /// whenever bytes arrived, and consumes the messages that it can decode. Before a graceful close, after
-    /// everything that had arrived by then, `keeps_open` says whether the connection goes on after all. May
-    /// only be called after [`Link::attach`]; the owner calls [`Link::terminate`] afterwards. Yields.
+    /// whenever bytes arrived, and consumes the messages that it can decode until the quantum is used up.
+    /// Before a graceful close, after everything that had arrived by then, `keeps_open` says whether the
+    /// connection goes on after all. May only be called after [`Link::attach`]; the owner calls
+    /// [`Link::terminate`] afterwards. Yields.
     pub fn run(
         &self,
-        mut receive: impl FnMut(&mut Buffer) -> Result<(), Reason>,
+        mut receive: impl FnMut(&mut Buffer, &mut Quantum) -> Result<(), Reason>,
         mut keeps_open: impl FnMut(Reason) -> bool,
     ) -> Reason {
         let Some(socket) = self.socket() else { return Reason::Reset };
         let mut buffer = Buffer::default();
+        let mut input = Input::Exhausted;
         loop {
             self.flush();
             self.retry_starved_writes();
@@ -207,8 +207,13 @@
                 Ok(graceful_close) => graceful_close,
                 Err(reason) => return reason,
             };
-            if let Err(reason) = receive_available(&socket, &mut buffer, &mut receive) {
-                return reason;
+            input = match receive_available(&socket, &mut buffer, input, &mut receive) {
+                Ok(input) => input,
+                Err(reason) => return reason,
+            };
+            if input == Input::MayRemain {
+                event_loop::yield_to_sockets();
+                continue;
             }
             match graceful_close {
                 Some(reason) if keeps_open(reason) => lock(&self.queue).cancel_graceful_close(),
@@ -273,34 +278,44 @@
     }
 }
 
-/// Reads until the socket has no more input and passes it to `receive`. Yields between portions of
-/// [`READ_QUANTUM`].
+/// What remains to be received from a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Input {
+    /// Nothing, until the socket is ready again.
+    Exhausted,
+    /// The quantum was used up: messages may remain in the buffer or in the socket.
+    MayRemain,
+}
+
+/// Reads until the socket has no more input or a quantum is used up, and passes the input to `receive`.
+/// `before` says what the last call left. Yields only while the machine has no buffers.
 ///
 /// # Errors
 /// The reason for which the connection ends.
 fn receive_available(
     socket: &Socket,
     buffer: &mut Buffer,
-    receive: &mut impl FnMut(&mut Buffer) -> Result<(), Reason>,
-) -> Result<(), Reason> {
-    let mut read_since_yield = 0;
-    loop {
+    before: Input,
+    receive: &mut impl FnMut(&mut Buffer, &mut Quantum) -> Result<(), Reason>,
+) -> Result<Input, Reason> {
+    let mut quantum = Quantum::default();
+    if before == Input::MayRemain {
+        receive(buffer, &mut quantum)?;
+    }
+    while !quantum.is_used_up() {
         match buffer.read_from(&mut socket.stream.inner()) {
             Ok(0) => return Err(Reason::PeerClosed),
             Ok(n) => {
-                receive(buffer)?;
-                read_since_yield += n;
-                if read_since_yield > READ_QUANTUM {
-                    read_since_yield = 0;
-                    event_loop::yield_to_sockets();
-                }
+                quantum.count_bytes(n);
+                receive(buffer, &mut quantum)?;
             }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(Input::Exhausted),
             Err(e) if Failure::classify(&e).is_transient() => sleep::sleep(STARVATION_BACKOFF),
             Err(_) => return Err(Reason::Reset),
         }
     }
+    Ok(Input::MayRemain)
 }
 
 #[cfg(test)]
--- a/crates/front/src/link/tests.rs
+++ b/crates/front/src/link/tests.rs
@@ -22,7 +22,7 @@
     let link = link.clone();
     may::go!(move || {
         let mut received = Vec::new();
-        let receive = |b: &mut Buffer| {
+        let receive = |b: &mut Buffer, _: &mut Quantum| {
             received.extend_from_slice(b.data());
             b.consume(usize::MAX);
             Ok(())
--- a/crates/front/src/main_loop.rs
+++ b/crates/front/src/main_loop.rs
@@ -29,14 +29,24 @@
     plan: ShutdownPlan,
     /// Wakes the coroutine that accepts client connections.
     acceptor: WaitIoWaker,
-    /// When the main loop noticed SIGTERM; `None` before.
-    shutdown_began: Option<Instant>,
+    /// The shutdown, once the main loop noticed SIGTERM.
+    shutdown: Option<Shutdown>,
     /// The total number of dropped log lines at the last report.
     reported_log_lines: usize,
     /// The total number of dropped peer messages at the last report.
     reported_peer_messages: u64,
 }
 
+/// The times that the shutdown plan counts from.
+#[derive(Clone, Copy)]
+struct Shutdown {
+    /// When the main loop noticed SIGTERM.
+    noticed: Instant,
+    /// Earliest time at which SIGTERM may have arrived: a pass of the main loop before it was noticed. The
+    /// platform counts its kill from the signal.
+    signalled: Instant,
+}
+
 impl MainLoop {
     pub(crate) fn new(
         front: Arc<SharedState>,
@@ -51,7 +61,7 @@
             reload,
             plan,
             acceptor,
-            shutdown_began: None,
+            shutdown: None,
             reported_log_lines: 0,
             reported_peer_messages: 0,
         }
@@ -61,11 +71,7 @@
     /// connections gracefully and returns within the time that the shutdown plan gives.
     pub(crate) fn run(mut self) {
         loop {
-            sleep::sleep(if self.shutdown_began.is_some() {
-                SHUTDOWN_SWEEP_INTERVAL
-            } else {
-                SWEEP_INTERVAL
-            });
+            sleep::sleep(if self.shutdown.is_some() { SHUTDOWN_SWEEP_INTERVAL } else { SWEEP_INTERVAL });
             self.front.main_loop_passes.record_pass(Instant::now());
             self.report_drops();
             self.front.wall_clock.check_for_step();
@@ -79,7 +85,7 @@
                 None => {}
             }
             self.publish_state();
-            if self.shutdown_began.is_none() && self.terminate.load(Ordering::Acquire) {
+            if self.shutdown.is_none() && self.terminate.load(Ordering::Acquire) {
                 self.begin_shutdown();
             }
             if self.sweep_clients() {
@@ -113,7 +119,7 @@
     /// Publishes this front's state in the fleet's membership view. From SIGTERM on this does nothing:
     /// `begin_shutdown` publishes the last state once.
     fn publish_state(&self) {
-        if let Some(fleet) = self.front.fleet.as_ref().filter(|_| self.shutdown_began.is_none()) {
+        if let Some(fleet) = self.front.fleet.as_ref().filter(|_| self.shutdown.is_none()) {
             fleet.set_state(match (self.front.is_ready(), self.front.server.is_evacuated()) {
                 (true, _) => FrontState::Ready,
                 (false, true) => FrontState::Draining,
@@ -132,34 +138,34 @@
         if let Some(fleet) = &front.fleet {
             fleet.set_state(FrontState::Draining);
         }
-        let now = Instant::now();
-        front.server.set_shutdown_deadline(now + self.plan.answered_by);
+        let noticed = Instant::now();
+        let signalled = noticed.checked_sub(SWEEP_INTERVAL).unwrap_or(noticed);
+        front.server.set_shutdown_deadline(signalled + self.plan.answered_by);
         if self.plan.hands_over {
             self.stop_accepting();
         }
-        self.shutdown_began = Some(now);
+        self.shutdown = Some(Shutdown { noticed, signalled });
     }
 
     /// Closes the client connections that may be closed, and finishes the shutdown once every request is
     /// answered or the time for that is over. Returns whether the front has shut down.
     fn sweep_clients(&self) -> bool {
         let (front, plan) = (&self.front, &self.plan);
-        let elapsed = self.shutdown_began.map(|at| at.elapsed());
-        let closing = elapsed.is_some_and(|t| t >= plan.accepting_for);
+        let closing = self.shutdown.is_some_and(|s| s.noticed.elapsed() >= plan.accepting_for);
         let evacuated = front.server.evacuated_for().is_some_and(|t| t >= EVACUATION_GRACE_PERIOD);
         front.server.sweep(front, closing || evacuated);
-        let (Some(began), true) = (self.shutdown_began, closing) else { return false };
-        let over = front.server.has_answered_all() || began.elapsed() >= plan.answered_by;
+        let (Some(shutdown), true) = (self.shutdown, closing) else { return false };
+        let over = front.server.has_answered_all() || shutdown.signalled.elapsed() >= plan.answered_by;
         if over {
-            self.finish_shutdown(began);
+            self.finish_shutdown(shutdown.signalled);
         }
         over
     }
 
-    fn finish_shutdown(&self, began: Instant) {
+    fn finish_shutdown(&self, signalled: Instant) {
         let front = &self.front;
         front.server.fail_open_calls(front);
-        self.close_remaining(began + self.plan.exit_by);
+        self.close_remaining(signalled + self.plan.exit_by);
         if let Some(fleet) = &front.fleet {
             fleet.leave();
         }
--- a/crates/front/src/sleep.rs
+++ b/crates/front/src/sleep.rs
@@ -63,6 +63,10 @@
 
 /// Puts the running coroutine into the worker's queue; an ordinary thread only yields.
 fn requeue_on_worker() {
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "called once for each timer that expires, so no coroutine stays ready by it"
+    )]
     may::coroutine::yield_now();
 }
 
--- a/crates/front/src/startup.rs
+++ b/crates/front/src/startup.rs
@@ -10,6 +10,7 @@
 use crate::control::watch_event;
 use crate::discovery_watch::{self, DiscoveryWatch};
 use crate::dispatch_host::DispatchHost;
+use crate::event_loop;
 use crate::failure::{retry_with_backoff, Failure};
 use crate::gossip::GossipService;
 use crate::invariants::{Invariants, Startup};
@@ -58,6 +59,9 @@
 pub fn start(loaded: LoadedConfig, signals: Signals) -> Result<(), StartError> {
     let LoadedConfig { mut config, plan, gossip, view, site } = loaded;
     may::config().set_workers(WORKER_THREADS).set_stack_size(COROUTINE_STACK_WORDS);
+    if let Err(e) = event_loop::start() {
+        tracing::warn!("the event descriptor of the event loop is opened later: {e}");
+    }
     let clock = Clock::start();
     let reload = Reload::new(signals.reload_requested, config.file.take(), site);
     let mut checks = Startup { signals_caught: true, ..Startup::default() };
--- a/crates/front/src/upstream/connection.rs
+++ b/crates/front/src/upstream/connection.rs
@@ -5,6 +5,7 @@
 //! lock on the state is never held across a yield; only [`Connection::terminate`] yields.
 
 use crate::buffer::Buffer;
+use crate::event_loop::Quantum;
 use crate::link::Link;
 use crate::log::Reason;
 use crate::sleep;
@@ -161,13 +162,17 @@
         lock(&self.state).in_flight.values().for_each(|attempt| attempt.withdraw());
     }
 
-    /// Ends the attempts whose complete answers are in the buffer, and consumes these answers.
+    /// Ends the attempts whose complete answers are in the buffer, and consumes these answers, until the
+    /// quantum is used up.
     ///
     /// # Errors
     /// [`Reason::Malformed`]: the bytes are not a valid answer, and the connection is to be closed.
-    pub fn read_answers(&self, buffer: &mut Buffer) -> Result<(), Reason> {
+    pub fn read_answers(&self, buffer: &mut Buffer, quantum: &mut Quantum) -> Result<(), Reason> {
         let mut any_complete = false;
-        while let Some((len, answer)) = resp::parse_answer(buffer.data()).map_err(|_| Reason::Malformed)? {
+        while !quantum.is_used_up() {
+            let parsed = resp::parse_answer(buffer.data()).map_err(|_| Reason::Malformed)?;
+            let Some((len, answer)) = parsed else { break };
+            quantum.count_message();
             let id = RequestId(u64::from_str_radix(answer.id, 16).map_err(|_| Reason::Malformed)?);
             let result = CompletedAttempt::from_answer(&answer).ok_or(Reason::Malformed)?;
             self.check_current_copy(id, &result, &answer)?;
--- a/crates/front/src/upstream/dialer.rs
+++ b/crates/front/src/upstream/dialer.rs
@@ -65,7 +65,10 @@
             Err(e) => return ConnectionEnd::from_dial_error(&e),
         };
         self.connection.link.attach(stream);
-        let reason = self.connection.link.run(|buffer| self.connection.read_answers(buffer), |_| false);
+        let reason = self
+            .connection
+            .link
+            .run(|buffer, quantum| self.connection.read_answers(buffer, quantum), |_| false);
         ConnectionEnd { reason, unwritten_ending: Ending::Retracted }
     }
 
--- a/crates/front/tests/sleep.rs
+++ b/crates/front/tests/sleep.rs
@@ -7,6 +7,7 @@
 /// The front relies on a single thread for all its coroutines: code that does not yield must not be
 /// interrupted.
 #[test]
+#[expect(clippy::disallowed_methods, reason = "each coroutine yields once, to begin on the worker")]
 fn a_coroutine_resumes_on_the_worker_after_a_timed_wait() {
     may::config().set_workers(1);
     let thread = || std::thread::current().id();
