Front: written bytes count as delivered only when the client's system acknowledges them

Cause: a connection was idle, and a graceful close went on, once the link's own queue was empty. A write that succeeds only hands bytes to the system, which holds some megabytes for a slow reader.

Evidence: with the new log field `undelivered`, `reason=idle unanswered=0 undelivered=1964717` on the program before. Ruled out: slow_reader and the limit of unread answers (`reason`), an end by the client (`unanswered=0`).

Idle close, eviction, evacuation, shutdown and `stalled` wait for delivery; the idle time also allows for reading the last 32 answers at 100,000 bytes a second, and the 5 s of a slow reader end with each acknowledgement. `CloseSettled` checks it.

Why it works: a socket is closed only when its system holds nothing that a reset could discard, and only when the client has had the time to read what its own system holds.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -35,6 +35,8 @@
     pub max_in_flight: AtomicUsize,
     /// The time from a request to its answer, in milliseconds.
     pub delay_ms: AtomicU64,
+    /// Length of the body of an answer, in bytes; 0 stands for the text `body`.
+    pub body_bytes: AtomicUsize,
     /// If set, the node closes open connections and drops new ones, like a host whose process has crashed.
     pub refuses_connections: AtomicBool,
     /// If set, the node answers with an error.
@@ -125,8 +127,12 @@
                 state.in_flight.fetch_sub(1, Ordering::SeqCst);
                 let outcome: &[u8] =
                     if state.answers_with_error.load(Ordering::SeqCst) { b"crashed" } else { b"served" };
+                let body = match state.body_bytes.load(Ordering::SeqCst) {
+                    0 => b"body".to_vec(),
+                    length => vec![b'x'; length],
+                };
                 let bytes =
-                    fernslip_front::resp::encode_array(&[id.as_bytes(), outcome, b"tell=fill", b"body"]);
+                    fernslip_front::resp::encode_array(&[id.as_bytes(), outcome, b"tell=fill", &body]);
                 let mut out = out.lock().expect("the mutex is not poisoned");
                 if state.answers_bytewise.load(Ordering::SeqCst) {
                     for b in bytes {
--- a/crates/cli/tests/common/scripted.rs
+++ b/crates/cli/tests/common/scripted.rs
@@ -2,6 +2,7 @@
 //! cache nodes, the event bus, a peer and clients. Each counterpart sends what the test's script says, in
 //! that order.
 
+use super::Node;
 use rmpv::Value;
 use serde_json::{json, Value as Json};
 use socket2::{Domain, Socket, Type};
@@ -210,6 +211,11 @@
     c
 }
 
+/// Sets the address of a cache node in a configuration.
+pub fn set_node_address(c: &mut Json, node: usize, addr: SocketAddr) {
+    c["known"]["batch"][0]["topology"]["servers"][node]["addr"] = addr.to_string().into();
+}
+
 impl ScriptedFront {
     pub fn start(name: &str) -> ScriptedFront {
         ScriptedFront::start_with(name, |_| {})
@@ -286,6 +292,14 @@
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell can be started").success());
     }
 
+    /// Starts the program with two cache nodes that answer at once; `change` edits the configuration further.
+    pub fn start_with_nodes(name: &str, nodes: &[Node; 2], change: impl Fn(&mut Json)) -> ScriptedFront {
+        ScriptedFront::start_with(name, |c| {
+            nodes.iter().enumerate().for_each(|(i, node)| set_node_address(c, i, node.addr));
+            change(c);
+        })
+    }
+
     /// Opens another client connection.
     pub fn connect(&self) -> TcpStream {
         let s = TcpStream::connect(&self.addr).expect("the front accepts the connection");
--- a/crates/cli/tests/fairness.rs
+++ b/crates/cli/tests/fairness.rs
@@ -5,12 +5,12 @@
 mod common;
 
 use common::scripted::{
-    encode_call, encode_cancel, encode_health_check, next_line, read_answer, ScriptedFront,
+    encode_call, encode_cancel, encode_health_check, next_line, read_answer, set_node_address, ScriptedFront,
 };
 use common::{wait_until, Node};
 use serde_json::{json, Value as Json};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -88,16 +88,7 @@
 
 /// Starts the program with two cache nodes that answer at once; `change` edits the configuration further.
 fn start_front_with(name: &str, change: impl Fn(&mut Json)) -> ScriptedFront {
-    let nodes = [Node::start(), Node::start()];
-    ScriptedFront::start_with(name, |c| {
-        nodes.iter().enumerate().for_each(|(i, node)| set_node_address(c, i, node.addr));
-        change(c);
-    })
-}
-
-/// Sets the address of a cache node in a configuration.
-fn set_node_address(c: &mut Json, node: usize, addr: SocketAddr) {
-    c["known"]["batch"][0]["topology"]["servers"][node]["addr"] = addr.to_string().into();
+    ScriptedFront::start_with_nodes(name, &[Node::start(), Node::start()], change)
 }
 
 /// Makes calls on an old and on a new connection, one after another, and checks that each is answered before
--- a/crates/front/src/clients/connection.rs
+++ b/crates/front/src/clients/connection.rs
@@ -16,7 +16,7 @@
 use crate::upstream::caller::Caller;
 use crate::upstream::dispatch_queue::DispatchQueue;
 use fernslip::{Request, RequestId};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -75,6 +75,25 @@
 pub(super) struct ClientConnection {
     pub(super) link: Link,
     pub(super) open: Mutex<ConnectionState>,
+    recent_answers: Mutex<RecentAnswers>,
+}
+
+/// Sizes of the last answers on a connection. As a client has at most [`MAX_OPEN_CALLS`] calls open, it has
+/// read all earlier answers.
+#[derive(Default)]
+struct RecentAnswers {
+    sizes: VecDeque<usize>,
+    bytes: usize,
+}
+
+impl RecentAnswers {
+    fn add(&mut self, size: usize) {
+        self.sizes.push_back(size);
+        self.bytes += size;
+        if self.sizes.len() > MAX_OPEN_CALLS {
+            self.bytes -= self.sizes.pop_front().unwrap_or(0);
+        }
+    }
 }
 
 impl ConnectionState {
@@ -98,11 +117,16 @@
             message_received: false,
             served: false,
         };
-        ClientConnection { link: Link::with_shared_byte_count(unread), open: Mutex::new(open) }
+        ClientConnection {
+            link: Link::with_shared_byte_count(unread),
+            open: Mutex::new(open),
+            recent_answers: Mutex::default(),
+        }
     }
 
     /// Queues an answer; returns whether the connection accepted it.
     pub(super) fn send(&self, bytes: Vec<u8>) -> bool {
+        lock(&self.recent_answers).add(bytes.len());
         let Some(unread) = self.link.send(bytes, None) else { return false };
         // A client that does not read its answers must not use up the memory for others.
         if unread > MAX_UNREAD_BYTES {
@@ -111,6 +135,11 @@
         true
     }
 
+    /// Number of bytes of the answers that the client may not have read yet, although they were delivered.
+    pub(super) fn recent_answer_bytes(&self) -> usize {
+        lock(&self.recent_answers).bytes
+    }
+
     /// Answers a call, unless the client has cancelled it.
     pub(super) fn answer(
         &self,
@@ -351,6 +380,7 @@
     fn drop(&mut self) {
         let ConnectionCleanup { front, number, client, peer, why } = self;
         let server = &front.server;
+        let undelivered = client.link.undelivered_bytes();
         client.link.terminate();
         lock(&server.clients).remove(number);
         let (unanswered, accepted, closing) = {
@@ -365,10 +395,12 @@
         server.descriptors.fetch_sub(1, Ordering::Relaxed);
         let (unanswered, open_calls) = (unanswered.len(), unanswered);
         front.reason_counts.add(EventKind::ClientClosed, why.code());
-        front.invariants.check(Invariant::CloseSettled, !why.is_own_choice() || unanswered == 0, || {
-            format!("{peer}: connection closed for reason {} while {unanswered} calls were open", why.code())
+        let settled = !why.is_own_choice() || unanswered == 0 && undelivered == 0;
+        front.invariants.check(Invariant::CloseSettled, settled, || {
+            let reason = why.code();
+            format!("{peer}: closed for reason {reason} with {unanswered} calls open, {undelivered} bytes undelivered")
         });
-        tracing::info!(kind = %"client", %peer, reason = %why.code(), taken = accepted, unanswered, "end");
+        tracing::info!(kind = %"client", %peer, reason = %why.code(), taken = accepted, unanswered, undelivered, "end");
         for call in open_calls.into_values() {
             call.cancel(front);
         }
--- a/crates/front/src/clients/eviction.rs
+++ b/crates/front/src/clients/eviction.rs
@@ -1,7 +1,7 @@
 //! Chooses the client connections to close: those that have timed out, and one when a shared limit is
 //! reached.
 
-use super::connection::{ClientConnection, MESSAGE_TIMEOUT, NEW_CONNECTION_GRACE};
+use super::connection::{ClientConnection, ConnectionState, MESSAGE_TIMEOUT, NEW_CONNECTION_GRACE};
 use super::server::Server;
 use crate::log::Reason;
 use crate::shared::SharedState;
@@ -9,11 +9,15 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// Time after which a client is disconnected if answers wait for it and it reads nothing of them.
+/// Time after which a client is disconnected if answers wait for it, here or in the system, and it reads
+/// nothing of them.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which an idle connection is closed. Clients close theirs after 4 s, but some keep them open
 /// indefinitely.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Reading speed of a client, in bytes per second, below which it may still be reading answers that its own
+/// system has received. Clients are known to read 1 MB a second or less.
+const MIN_READING_SPEED: usize = 100_000;
 
 impl ClientConnection {
     /// Priority of closing this connection when incomplete messages use too much memory: whether no call is
@@ -24,9 +28,21 @@
     }
 
     /// Priority of closing this connection when unread answers use too much memory: `true`, the time for
-    /// which the client has read nothing, and the bytes of its unread answers. `None` if no answer is unread.
+    /// which the client has read nothing, and the bytes of its answers that are not yet written. `None` if all
+    /// are written.
     pub(super) fn unread_weight(&self, now: Instant) -> Option<(bool, Duration, usize)> {
-        self.link.stalled_for(now).map(|stalled| (true, stalled, self.link.unwritten_bytes()))
+        let unwritten = self.link.unwritten_bytes();
+        let stalled = self.link.stalled_for(now)?;
+        (unwritten > 0).then_some((true, stalled, unwritten))
+    }
+
+    /// How long the connection has been idle: since its last call ended and the client has had the time to
+    /// read the answers that may still be in its receive buffer, and since bytes were last delivered. `None`
+    /// while a call is open.
+    fn idle_for(&self, open: &ConnectionState, now: Instant) -> Option<Duration> {
+        let without_call = now.saturating_duration_since(open.idle_since?);
+        let reading = Duration::from_secs(self.recent_answer_bytes() as u64) / MIN_READING_SPEED as u32;
+        Some(without_call.saturating_sub(reading).min(self.link.time_since_progress(now)))
     }
 
     /// The reason to close the connection because a timeout has passed; `None` if none has.
@@ -37,7 +53,7 @@
             // A client that waits for an answer gets it before it is disconnected.
             () if timed_out(open.partial_since, MESSAGE_TIMEOUT)
                 && open.calls.is_empty()
-                && self.link.is_drained() =>
+                && self.link.is_delivered() =>
             {
                 Some(Reason::Stalled)
             }
@@ -45,7 +61,10 @@
                 Some(Reason::NoRequest)
             }
             // An incomplete message is the beginning of a call, so its connection is not idle.
-            () if open.partial == 0 && timed_out(open.idle_since, IDLE_TIMEOUT) && self.link.is_drained() => {
+            () if open.partial == 0
+                && self.idle_for(&open, now).is_some_and(|t| t >= IDLE_TIMEOUT)
+                && self.link.is_delivered() =>
+            {
                 Some(Reason::Idle)
             }
             () if self.link.stalled_for(now).is_some_and(|t| t >= UNREAD_TIMEOUT) => Some(Reason::SlowReader),
@@ -54,20 +73,22 @@
     }
 
     /// Rank for eviction, the highest first: by kind (0: has been served, 1: has only sent messages, 2: has
-    /// sent nothing), then by the time without an open call. `None`: the connection is not evicted.
-    pub(super) fn eviction_rank(&self, now: Instant) -> Option<(u8, Duration)> {
+    /// sent nothing), then by whether the client has had the time to read its answers, then by the time without
+    /// an open call. `None`: the connection is not evicted.
+    pub(super) fn eviction_rank(&self, now: Instant) -> Option<(u8, bool, Duration)> {
         let open = lock(&self.open);
         if open.closing || self.link.is_closing() {
             return None;
         }
-        let idle = now.duration_since(open.idle_since?);
+        let idle = now.saturating_duration_since(open.idle_since?);
+        let has_read = self.idle_for(&open, now).is_some_and(|t| !t.is_zero());
         match (open.served, open.message_received) {
             (true, _) if open.partial > 0 => None,
-            (true, _) => Some((0, idle)),
-            (false, true) => Some((1, idle)),
-            (false, false) => Some((2, idle)).filter(|_| idle >= NEW_CONNECTION_GRACE),
+            (true, _) => Some((0, has_read, idle)),
+            (false, true) => Some((1, has_read, idle)),
+            (false, false) => Some((2, has_read, idle)).filter(|_| idle >= NEW_CONNECTION_GRACE),
         }
-        .filter(|_| self.link.is_drained())
+        .filter(|_| self.link.is_delivered())
     }
 }
 
--- a/crates/front/src/clients/server.rs
+++ b/crates/front/src/clients/server.rs
@@ -200,7 +200,7 @@
         let all: Vec<Arc<ClientConnection>> = lock(&self.clients).values().cloned().collect();
         for client in all {
             client.link.sweep(now);
-            let idle = || lock(&client.open).is_idle(now) && client.link.is_drained();
+            let idle = || lock(&client.open).is_idle(now) && client.link.is_delivered();
             match client.timeout_reason(now).or_else(|| (ending && idle()).then_some(Reason::Shutdown)) {
                 Some(why @ (Reason::Idle | Reason::Shutdown | Reason::NoRequest)) => {
                     client.start_closing(front, why);
--- a/crates/front/src/clients/server/tests.rs
+++ b/crates/front/src/clients/server/tests.rs
@@ -72,3 +72,32 @@
     server.limit_unread_answers();
     assert_eq!((stalled.link.is_closing(), reading.link.is_closing()), (true, false));
 }
+
+/// A connection whose answers are written but not yet read is not evicted: the close would lose them. The
+/// system takes some megabytes of answers at once, so the link's own queue is empty then.
+#[test]
+fn a_connection_with_undelivered_answers_is_not_evicted() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port can be bound");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    let front = may::net::TcpStream::connect(address).expect("the listener can be connected to");
+    let mut other = listener.accept().expect("the connection is accepted").0;
+    let (client, now) = connection_of_age(Duration::from_secs(60), |open| {
+        (open.message_received, open.served) = (true, true);
+    });
+    client.link.attach(front);
+    let mut sent = 0;
+    while client.link.is_delivered() {
+        assert!(client.send(vec![0; 64 * 1024]));
+        sent += 64 * 1024;
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert!(client.link.is_drained(), "the system took all bytes");
+    assert_eq!(client.eviction_rank(now), None);
+    assert_eq!(client.timeout_reason(Instant::now()), None);
+    std::io::Read::read_exact(&mut other, &mut vec![0; sent]).expect("all bytes arrive");
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while client.eviction_rank(now).is_none() {
+        assert!(Instant::now() < deadline, "the delivered answers are never noticed");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -8,6 +8,7 @@
 //! Only [`Link::run`] yields, also to the other sockets after each quantum of input. No lock is held across a yield; the socket's lock is released before the
 //! queue's is taken.
 
+mod delivery;
 mod stream;
 mod write_queue;
 
@@ -20,11 +21,12 @@
 use crate::log::Reason;
 use crate::sleep;
 use crate::sync::lock;
+use delivery::Delivery;
 use may::io::WaitIoWaker;
 use std::io::{self, ErrorKind, Read};
 use std::net::Shutdown;
 use std::sync::atomic::AtomicUsize;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use write_queue::{Close, Flush, WriteQueue};
 
@@ -114,8 +116,8 @@
         self.wake();
     }
 
-    /// Ends the connection gracefully, for this reason. Queued messages are written first, however long the
-    /// other side takes, and messages that arrive meanwhile are received. Then the sending half is shut
+    /// Ends the connection gracefully, for this reason. What was sent is delivered first, however long the
+    /// other side takes to read it, and messages that arrive meanwhile are received. Then the sending half is shut
     /// down, and further input is read and dropped within limits. This protects the last answer: closing a
     /// socket with unread input resets the connection, and answers that the other side has not read yet are
     /// lost.
@@ -140,21 +142,58 @@
         self.unwritten_bytes() == 0
     }
 
+    /// Whether everything that was sent has reached the other side's system. Where the system does not report
+    /// that, what was written counts as delivered.
+    pub fn is_delivered(&self) -> bool {
+        self.queue_with_delivery().is_delivered()
+    }
+
+    /// The queue, after it has been told what the other side's system has acknowledged.
+    fn queue_with_delivery(&self) -> MutexGuard<'_, WriteQueue> {
+        let socket = self.socket();
+        let mut queue = lock(&self.queue);
+        if let Some(socket) = socket.filter(|_| queue.is_unconfirmed()) {
+            queue.record_delivery(Delivery::of_socket(socket.stream.inner()), Instant::now());
+        }
+        queue
+    }
+
     /// Number of bytes that are queued and not yet written.
     pub fn unwritten_bytes(&self) -> usize {
         lock(&self.queue).bytes()
     }
 
-    /// How long bytes have been waiting without any being written; `None` if none wait.
+    /// Number of bytes that were sent on the link and that the other side's system has not acknowledged, as
+    /// far as the system reports it; the queued bytes otherwise.
+    pub fn undelivered_bytes(&self) -> u64 {
+        let delivery = self.socket().and_then(|socket| Delivery::of_socket(socket.stream.inner()));
+        let queue = lock(&self.queue);
+        let unacknowledged = delivery
+            .filter(|d| !d.complete)
+            .map_or(0, |d| queue.written_bytes().saturating_sub(d.acknowledged_bytes));
+        queue.bytes() as u64 + unacknowledged
+    }
+
+    /// How long bytes have been undelivered without any being written or acknowledged; `None` if everything
+    /// is delivered.
     pub fn stalled_for(&self, now: Instant) -> Option<Duration> {
-        let since = lock(&self.queue).stalled_since()?;
+        let since = self.queue_with_delivery().stalled_since()?;
         Some(now.saturating_duration_since(since))
     }
 
-    /// Ends a graceful close that has reached its time limit. To be called periodically.
+    /// How long ago bytes were last written or seen to be acknowledged.
+    pub fn time_since_progress(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(lock(&self.queue).last_progress())
+    }
+
+    /// Lets a graceful close go on that waits for its time limit or for the delivery of what was written, as
+    /// the system announces neither. To be called periodically.
     pub fn sweep(&self, now: Instant) {
-        let expired = lock(&self.queue).linger_until.is_some_and(|at| now >= at);
-        if expired {
+        let due = {
+            let queue = lock(&self.queue);
+            queue.linger_until.is_some_and(|at| now >= at) || queue.close_awaits_delivery()
+        };
+        if due {
             self.wake();
         }
     }
@@ -217,23 +256,25 @@
             }
             match graceful_close {
                 Some(reason) if keeps_open(reason) => lock(&self.queue).cancel_graceful_close(),
-                Some(reason) if self.close_if_drained() => {
+                Some(reason) if self.close_if_delivered() => {
                     drop(buffer);
                     self.linger(&socket);
                     return reason;
                 }
-                // Queued messages are written before the close, and incoming ones are still received.
+                // What was sent is delivered before the close, and incoming messages are still received.
                 Some(_) | None => socket.stream.wait_io(),
             }
         }
     }
 
-    /// Stops accepting messages if none is queued; returns whether it has stopped.
-    fn close_if_drained(&self) -> bool {
-        lock(&self.queue).close_if_drained()
+    /// Stops accepting messages if everything is delivered; returns whether it has stopped. A socket that is
+    /// closed while its system still holds bytes for the other side is reset by the other side's next message,
+    /// and those bytes are lost.
+    fn close_if_delivered(&self) -> bool {
+        self.queue_with_delivery().close_if_delivered()
     }
 
-    /// Shuts down the sending half, once nothing is queued, and reads and drops input within limits of time
+    /// Shuts down the sending half, once everything is delivered, and reads and drops input within limits of time
     /// and bytes. Yields.
     fn linger(&self, socket: &Socket) {
         lock(&self.queue).linger_until = Some(Instant::now() + LINGER_TIMEOUT);
--- a/crates/front/src/link/write_queue.rs
+++ b/crates/front/src/link/write_queue.rs
@@ -1,5 +1,6 @@
 //! Messages that a connection has yet to write, and how the connection is to end.
 
+use super::delivery::Delivery;
 use crate::failure::Failure;
 use crate::log::Reason;
 use std::collections::VecDeque;
@@ -63,6 +64,12 @@
     messages: VecDeque<QueuedMessage>,
     /// Unwritten bytes of all queued messages.
     bytes: usize,
+    /// Bytes written so far.
+    written_bytes: u64,
+    /// Whether bytes were written that the other side's system was not yet seen to acknowledge.
+    unconfirmed: bool,
+    /// Bytes that the other side's system had acknowledged when that was last looked at.
+    acknowledged_bytes: u64,
     /// Unwritten bytes on all links that share this total.
     total_bytes: Arc<AtomicUsize>,
     /// How the connection is to end, once a close was requested.
@@ -73,7 +80,8 @@
     broken: bool,
     /// Whether a write failed because the machine had no buffers.
     starved: bool,
-    /// When bytes were last written, or a message was added to an empty queue.
+    /// When bytes were last written or seen to be acknowledged, or a message was added although nothing was
+    /// undelivered.
     last_progress: Instant,
     /// Time by which a graceful close that has shut down the sending half ends.
     pub linger_until: Option<Instant>,
@@ -91,6 +99,9 @@
         WriteQueue {
             messages: VecDeque::new(),
             bytes: 0,
+            written_bytes: 0,
+            unconfirmed: false,
+            acknowledged_bytes: 0,
             total_bytes,
             closing: None,
             closed: false,
@@ -108,7 +119,7 @@
             return false;
         }
         self.add_bytes(bytes.len());
-        if self.messages.is_empty() {
+        if self.messages.is_empty() && !self.unconfirmed {
             self.last_progress = Instant::now();
         }
         self.messages.push_back(QueuedMessage { bytes, written: 0, tag, queued_at: Instant::now(), gate });
@@ -196,6 +207,8 @@
             gate.last_byte_written();
         }
         self.last_progress = Instant::now();
+        self.written_bytes += count as u64;
+        self.unconfirmed = true;
         self.remove_bytes(count);
         if complete {
             self.messages.pop_front();
@@ -226,17 +239,48 @@
         self.closing.is_some()
     }
 
+    /// Whether a graceful close waits until everything is delivered.
+    pub fn close_awaits_delivery(&self) -> bool {
+        !self.closed && self.closing.is_some_and(|c| c.graceful)
+    }
+
     /// Cancels a graceful close that was requested.
     pub fn cancel_graceful_close(&mut self) {
         self.closing = self.closing.filter(|c| !c.graceful);
     }
 
-    /// Closes the queue to further messages if none is queued; returns whether it is closed.
-    pub fn close_if_drained(&mut self) -> bool {
-        self.closed |= self.bytes == 0;
+    /// Closes the queue to further messages if everything is delivered; returns whether it is closed.
+    pub fn close_if_delivered(&mut self) -> bool {
+        self.closed |= self.is_delivered();
         self.closed
     }
 
+    /// Records what the other side's system has acknowledged by `now`. `None`: the system does not report it;
+    /// then what was written counts as delivered.
+    pub fn record_delivery(&mut self, delivery: Option<Delivery>, now: Instant) {
+        let acknowledged_bytes = delivery.map_or(self.acknowledged_bytes, |d| d.acknowledged_bytes);
+        if acknowledged_bytes != self.acknowledged_bytes {
+            self.acknowledged_bytes = acknowledged_bytes;
+            self.last_progress = now;
+        }
+        self.unconfirmed = delivery.is_some_and(|d| !d.complete);
+    }
+
+    /// Whether bytes were written that the other side's system was not yet seen to acknowledge.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.unconfirmed
+    }
+
+    /// Whether everything that was queued is written and acknowledged.
+    pub fn is_delivered(&self) -> bool {
+        self.bytes == 0 && !self.unconfirmed
+    }
+
+    /// When bytes were last written or seen to be acknowledged.
+    pub fn last_progress(&self) -> Instant {
+        self.last_progress
+    }
+
     /// Closes and empties the queue; returns the tags of the messages that were not completely written.
     pub fn terminate(&mut self) -> Vec<u64> {
         self.closed = true;
@@ -264,9 +308,14 @@
         self.bytes
     }
 
-    /// When bytes were last written; `None` if nothing is queued.
+    /// Number of bytes written so far.
+    pub fn written_bytes(&self) -> u64 {
+        self.written_bytes
+    }
+
+    /// When bytes were last written or seen to be acknowledged; `None` if everything is delivered.
     pub fn stalled_since(&self) -> Option<Instant> {
-        (self.bytes > 0).then_some(self.last_progress)
+        (!self.is_delivered()).then_some(self.last_progress)
     }
 
     fn add_bytes(&mut self, count: usize) {
