--- a/crates/cli/tests/gossip.rs
+++ b/crates/cli/tests/gossip.rs
@@ -335,3 +335,31 @@
     drop((first, second));
     let _ = std::fs::remove_dir_all(dir);
 }
+
+/// Datagrams that arrive at the gossip's port without a pause delay no client: the worker that receives them
+/// also serves the clients.
+#[test]
+fn datagrams_without_a_pause_delay_no_client() {
+    let dir = temp_dir_for("flood");
+    create_key_file(&dir);
+    let (cache, origin) = (Node::start(), Node::start());
+    let peer = Peer::start(&dir, 0, &[&cache, &origin], None);
+    let mut client = peer.front.client();
+    assert_eq!(client.call("docs", 1), Answer::Served);
+    // Longer than an answer may take.
+    let flood_end = Instant::now() + Duration::from_secs(8);
+    let addr = peer.gossip_addr;
+    for _ in 0..4 {
+        std::thread::spawn(move || {
+            let socket = UdpSocket::bind("127.0.0.1:0").expect("a loopback port can be bound");
+            while Instant::now() < flood_end && socket.send_to(&[0; 8], addr).is_ok() {}
+        });
+    }
+    for object in 2..12 {
+        let started = Instant::now();
+        assert_eq!(client.call("docs", object), Answer::Served);
+        // The clients of these tests wait for 4 s; half a second later an answer counts as lost.
+        assert!(started.elapsed() < Duration::from_millis(4500), "answered after {:?}", started.elapsed());
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
