Front: a quantum that ends inside a message leaves the accounts of that message as they are

Cause: where the bytes of a quantum were used up before any message was complete, `read_messages` took the begun message for handled, and its time limit began anew. No message is that long (56 KB at most, a quantum has 256 KB), so it could not be seen; found by reading the change once more.

Change: nothing is accounted for before a message was looked at. Comments and a log statement fit the line width.

Measured result: tests of the front crate, `fairness.rs`, `slow_readers.rs`, `endings.rs` and `transcripts.rs` pass.

--- a/crates/front/src/clients/connection.rs
+++ b/crates/front/src/clients/connection.rs
@@ -354,7 +354,11 @@
             open.idle_since = open.idle_since.map(|_| now);
         }
         // What follows the last message of a quantum may be complete; the next quantum accounts for it.
-        let partial = if all_handled { buffer.data().len() } else { 0 };
+        let partial = match (all_handled, received) {
+            (true, _) => buffer.data().len(),
+            (false, true) => 0,
+            (false, false) => return Ok(()),
+        };
         open.partial_since = (partial > 0).then(|| open.partial_since.unwrap_or(now));
         let total = replace_contribution(&front.server.partial, &mut open.partial, partial);
         drop(open);
@@ -398,9 +402,12 @@
         let settled = !why.is_own_choice() || unanswered == 0 && undelivered == 0;
         front.invariants.check(Invariant::CloseSettled, settled, || {
             let reason = why.code();
-            format!("{peer}: closed for reason {reason} with {unanswered} calls open, {undelivered} bytes undelivered")
+            format!(
+                "{peer}: closed for {reason} with {unanswered} calls open, {undelivered} bytes undelivered"
+            )
         });
-        tracing::info!(kind = %"client", %peer, reason = %why.code(), taken = accepted, unanswered, undelivered, "end");
+        let (reason, taken) = (why.code(), accepted);
+        tracing::info!(kind = %"client", %peer, %reason, taken, unanswered, undelivered, "end");
         for call in open_calls.into_values() {
             call.cancel(front);
         }
--- a/crates/front/src/control/discovery_watch.rs
+++ b/crates/front/src/control/discovery_watch.rs
@@ -122,7 +122,8 @@
     Ok(())
 }
 
-/// Processes the complete lines in the buffer until the quantum is used up. The buffer's first `scanned` bytes are known to contain no line end.
+/// Processes the complete lines in the buffer until the quantum is used up. The buffer's first `scanned` bytes
+/// are known to contain no line end.
 /// Returns whether any line proves that the bus is alive; partial and blank lines do not.
 ///
 /// # Errors
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -5,8 +5,8 @@
 //! blocks nobody else. A socket of the `may` crate wakes only one waiting coroutine, so reading and writing
 //! share one wait.
 //!
-//! Only [`Link::run`] yields, also to the other sockets after each quantum of input. No lock is held across a yield; the socket's lock is released before the
-//! queue's is taken.
+//! Only [`Link::run`] yields, also to the other sockets after each quantum of input. No lock is held across a
+//! yield; the socket's lock is released before the queue's is taken.
 
 mod delivery;
 mod stream;
@@ -117,8 +117,8 @@
     }
 
     /// Ends the connection gracefully, for this reason. What was sent is delivered first, however long the
-    /// other side takes to read it, and messages that arrive meanwhile are received. Then the sending half is shut
-    /// down, and further input is read and dropped within limits. This protects the last answer: closing a
+    /// other side takes to read it, and messages that arrive meanwhile are received. Then the sending half is
+    /// shut down, and further input is read and dropped within limits. This protects the last answer: closing a
     /// socket with unread input resets the connection, and answers that the other side has not read yet are
     /// lost.
     pub fn close_gracefully(&self, reason: Reason) {
@@ -274,8 +274,8 @@
         self.queue_with_delivery().close_if_delivered()
     }
 
-    /// Shuts down the sending half, once everything is delivered, and reads and drops input within limits of time
-    /// and bytes. Yields.
+    /// Shuts down the sending half, once everything is delivered, and reads and drops input within limits of
+    /// time and bytes. Yields.
     fn linger(&self, socket: &Socket) {
         lock(&self.queue).linger_until = Some(Instant::now() + LINGER_TIMEOUT);
         let _ = socket.stream.inner().shutdown(Shutdown::Write);
