Front: metrics of the memory of clients' receive buffers and of the process

Change: accounts of memory (`memory.rs`): a reservation counts what an allocation occupies until it is dropped. The clients' receive buffers are the first; `telemetry` lists each account and the private memory of the process beside it. No behaviour changes.

--- a/crates/front/src/buffer.rs
+++ b/crates/front/src/buffer.rs
@@ -1,6 +1,8 @@
 //! Receive buffer of a connection: bytes are appended at its end and consumed from its start.
 
+use crate::memory::{block_memory, MemoryAccount, Reservation};
 use std::io::{self, Read};
+use std::sync::Arc;
 
 /// Minimum free space before a read, in bytes.
 const MIN_FREE: usize = 4 * 1024;
@@ -14,9 +16,15 @@
     bytes: Vec<u8>,
     start: usize,
     end: usize,
+    reservation: Reservation,
 }
 
 impl Buffer {
+    /// Creates an empty buffer whose memory counts towards this account.
+    pub fn with_account(account: Arc<MemoryAccount>) -> Buffer {
+        Buffer { reservation: Reservation::new(account), ..Buffer::default() }
+    }
+
     /// Bytes received and not yet consumed.
     pub fn data(&self) -> &[u8] {
         &self.bytes[self.start..self.end]
@@ -29,6 +37,7 @@
             (self.start, self.end) = (0, 0);
             if self.bytes.len() > MAX_RETAINED {
                 self.bytes = Vec::new();
+                self.reservation.resize(0);
             }
         }
     }
@@ -56,6 +65,7 @@
             (self.start, self.end) = (0, len);
         } else {
             self.bytes.resize((self.bytes.len() * 2).max(self.end + MIN_FREE), 0);
+            self.reservation.resize(block_memory(self.bytes.capacity()));
         }
     }
 }
--- a/crates/front/src/clients/connection.rs
+++ b/crates/front/src/clients/connection.rs
@@ -8,6 +8,7 @@
 use crate::invariants::Invariant;
 use crate::link::Link;
 use crate::log::Reason;
+use crate::memory::MemoryAccount;
 use crate::metrics::Outcome;
 use crate::reason_counts::EventKind;
 use crate::shared::SharedState;
@@ -106,7 +107,7 @@
 }
 
 impl ClientConnection {
-    pub(super) fn new(unread: Arc<AtomicUsize>) -> ClientConnection {
+    pub(super) fn new(input_memory: Arc<MemoryAccount>, unread: Arc<AtomicUsize>) -> ClientConnection {
         let open = ConnectionState {
             calls: HashMap::new(),
             idle_since: Some(Instant::now()),
@@ -118,7 +119,7 @@
             served: false,
         };
         ClientConnection {
-            link: Link::with_shared_byte_count(unread),
+            link: Link::with_accounts(input_memory, unread),
             open: Mutex::new(open),
             recent_answers: Mutex::default(),
         }
--- a/crates/front/src/clients/server.rs
+++ b/crates/front/src/clients/server.rs
@@ -9,6 +9,7 @@
 use crate::link::Stream;
 use crate::listen::{Listener, Origin};
 use crate::log::Reason;
+use crate::memory::MemoryAccount;
 use crate::reason_counts::EventKind;
 use crate::shared::SharedState;
 use crate::spawn::spawn;
@@ -33,6 +34,8 @@
     pub(super) classes: Vec<Class>,
     pub(super) clients: Mutex<HashMap<u64, Arc<ClientConnection>>>,
     pub(super) next_number: AtomicU64,
+    /// Memory of the connections' receive buffers.
+    pub(super) input_memory: Arc<MemoryAccount>,
     /// Bytes of answers that are queued and not yet written, over all connections.
     pub(super) unread: Arc<AtomicUsize>,
     /// Number of descriptors held by client connections.
@@ -79,6 +82,7 @@
             classes,
             clients: Mutex::default(),
             next_number: AtomicU64::new(0),
+            input_memory: Arc::default(),
             unread: Arc::default(),
             descriptors: AtomicUsize::new(0),
             closing: AtomicUsize::new(0),
@@ -102,6 +106,11 @@
         }
     }
 
+    /// The accounts of the memory that clients make the front hold, by the name of their metrics.
+    pub fn memory_accounts(&self) -> [(&'static str, &MemoryAccount); 1] {
+        [("client_input", &self.input_memory)]
+    }
+
     /// Sets the time by which the process ends; calls accepted from now on must be answered before it.
     pub fn set_shutdown_deadline(&self, at: Instant) {
         *lock(&self.shutdown_deadline) = Some(at);
@@ -169,7 +178,7 @@
         }
         // Added at once, so that the limit check for the next connection counts this one.
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
-        let client = Arc::new(ClientConnection::new(self.unread.clone()));
+        let client = Arc::new(ClientConnection::new(self.input_memory.clone(), self.unread.clone()));
         lock(&self.clients).insert(number, client.clone());
         let front = front.clone();
         spawn(move || front.server.serve_connection(&front, number, &client, stream, peer));
--- a/crates/front/src/control/admin/answer.rs
+++ b/crates/front/src/control/admin/answer.rs
@@ -3,6 +3,7 @@
 use super::command::AdminCommand;
 use super::exclusions::{self, ExclusionChange};
 use crate::event_loop;
+use crate::memory;
 use crate::reason_counts::metric_name;
 use crate::shared::SharedState;
 use fernslip::facade::EndpointCounts;
@@ -43,7 +44,8 @@
     let (violations, reasons) = (front.invariants.metric_lines(), front.reason_counts.metric_lines());
     let rejections = rejection_lines(front);
     let worker = event_loop::metric_line() + &front.main_loop_passes.metric_lines(Instant::now());
-    format!("200 telemetry\n{counters}{violations}{reasons}{rejections}{worker}{view}EOF\n")
+    let memory = memory::metric_lines(&front.server.memory_accounts());
+    format!("200 telemetry\n{counters}{violations}{reasons}{rejections}{worker}{memory}{view}EOF\n")
 }
 
 /// Returns the number of requests rejected for each reason, summed over the dispatch queues, as lines
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod loaded_config;
 pub mod log;
 mod main_loop;
+pub mod memory;
 pub mod pass_times;
 pub mod reason_counts;
 mod reconfigure;
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -19,6 +19,7 @@
 use crate::event_loop::{self, Quantum};
 use crate::failure::Failure;
 use crate::log::Reason;
+use crate::memory::MemoryAccount;
 use crate::sleep;
 use crate::sync::lock;
 use delivery::Delivery;
@@ -50,12 +51,16 @@
     /// descriptor.
     socket: Mutex<Option<Arc<Socket>>>,
     queue: Mutex<WriteQueue>,
+    /// The memory of the receive buffer counts towards this account.
+    input_memory: Arc<MemoryAccount>,
 }
 
 impl Link {
-    /// Creates a link whose unwritten bytes also count towards a total over several links.
-    pub fn with_shared_byte_count(total_bytes: Arc<AtomicUsize>) -> Link {
-        Link { queue: Mutex::new(WriteQueue::with_shared_byte_count(total_bytes)), ..Link::default() }
+    /// Creates a link whose receive buffer counts towards an account, and whose unwritten bytes also count
+    /// towards a total over several links.
+    pub fn with_accounts(input_memory: Arc<MemoryAccount>, total_bytes: Arc<AtomicUsize>) -> Link {
+        let queue = Mutex::new(WriteQueue::with_shared_byte_count(total_bytes));
+        Link { queue, input_memory, ..Link::default() }
     }
 
     fn socket(&self) -> Option<Arc<Socket>> {
@@ -236,7 +241,7 @@
         mut keeps_open: impl FnMut(Reason) -> bool,
     ) -> Reason {
         let Some(socket) = self.socket() else { return Reason::Reset };
-        let mut buffer = Buffer::default();
+        let mut buffer = Buffer::with_account(self.input_memory.clone());
         let mut input = Input::Exhausted;
         loop {
             self.flush();
--- a/crates/front/src/link/tests.rs
+++ b/crates/front/src/link/tests.rs
@@ -165,7 +165,7 @@
     let waiting = Arc::new(AtomicUsize::new(0));
     for read in [true, false] {
         let (front, mut other) = connected_pair();
-        let link = Arc::new(Link::with_shared_byte_count(waiting.clone()));
+        let link = Arc::new(Link::with_accounts(Arc::default(), waiting.clone()));
         link.attach(front);
         let ended = spawn_link(&link, |_| false);
         // More than the socket buffers of both ends hold.
