--- a/crates/cli/tests/endings.rs
+++ b/crates/cli/tests/endings.rs
@@ -38,7 +38,8 @@
         .iter()
         .find(|l| l.contains(" left "))
         .unwrap_or_else(|| panic!("the front did not log its last line `left`: {lines:?}"));
-    let none = "held=Held { connections: 0, leaving: 0, unread: 0, bodies: 0, partial: 0 } attempts=0 open=0";
+    let none = "held=Held { connections: 0, leaving: 0, unread: 0, calls: 0, bodies: 0, partial: 0 } \
+                attempts=0 open=0";
     assert!(last_line.contains(none), "{last_line}");
 }
 
--- a/crates/front/src/clients/budget.rs
+++ b/crates/front/src/clients/budget.rs
@@ -2,15 +2,24 @@
 
 /// Number of bytes in a megabyte of the configuration.
 const BYTES_PER_MB: usize = 1 << 20;
-/// Memory of an idle front, in bytes: code, tables, filters and threads.
-const IDLE_MEMORY: usize = 12 * BYTES_PER_MB;
+/// Memory of an idle front, in bytes: tables, filters, threads, spare coroutines and queued log lines.
+const IDLE_MEMORY: usize = 8 * BYTES_PER_MB;
+/// Memory of one connection of a client, in bytes: the used part of its coroutine's stack, and its state.
+const CONNECTION_MEMORY: usize = 12 * 1024;
 /// Minimum memory assumed to be available for requests, in bytes, however low the configured limit is.
 const MIN_WORKING_MEMORY: usize = 8 * BYTES_PER_MB;
 /// Memory of one open request, in bytes: the used part of its coroutine's stack, its fields and its table
 /// entries.
-const REQUEST_MEMORY: usize = 16 * 1024;
-/// Maximum memory of one connection to a cache node, in bytes: a complete answer in its buffer.
+pub const REQUEST_MEMORY: usize = 12 * 1024;
+/// Received bytes of an incomplete answer on one connection to a cache node, in bytes.
 const UPSTREAM_CONNECTION_MEMORY: usize = 256 * 1024;
+/// Minimum memory of a line from the event bus, in bytes: an endpoint list of the largest fleet.
+const MIN_BUS_INPUT_MEMORY: usize = BYTES_PER_MB;
+/// Number of equal parts into which the memory for requests is divided among its purposes.
+const PARTS: usize = 16;
+/// Connections allowed beyond the budgets for open and closing clients, as a margin while some are just
+/// being closed. Further clients wait in the listen queue.
+pub const CLOSING_RESERVE: usize = 4;
 /// Upper limit of open requests, above what any deployment needs on one core.
 const MAX_OPEN_REQUESTS: usize = 2048;
 /// Descriptors reserved for the front itself, for which clients do not compete: standard streams, event
@@ -34,35 +43,56 @@
     pub upstream: usize,
     /// Open requests.
     pub open: usize,
-    /// Bytes of answers that clients have not read yet.
+    /// Calls whose coroutines have not ended: open requests, and further calls that the decision crate is
+    /// about to reject.
+    pub calls: usize,
+    /// Memory of answers that clients have not read yet, in bytes.
     pub unread: usize,
-    /// Bytes of the bodies of open write calls.
+    /// Memory of the bodies of open write calls, in bytes.
     pub bodies: usize,
-    /// Bytes of messages that have been received only in part.
+    /// Memory of clients' messages that are received only in part, in bytes.
     pub partial: usize,
+    /// Memory of cache nodes' answers that are received only in part, in bytes.
+    pub upstream_input: usize,
+    /// Memory of a line from the event bus that is received only in part, in bytes.
+    pub bus_input: usize,
 }
 
 impl Budget {
     /// Derives the limits from a number of descriptors and a memory size in megabytes.
     pub fn from_limits(sockets: usize, memory_mb: usize) -> Budget {
-        let memory =
-            (memory_mb.saturating_mul(BYTES_PER_MB)).saturating_sub(IDLE_MEMORY).max(MIN_WORKING_MEMORY);
         let third = (sockets / 3).max(1);
+        // Descriptors that are left after the reserves for the front itself, the admin interface and closing
+        // connections go to further clients.
+        let clients = third + (sockets.saturating_sub(OWN_DESCRIPTORS) / 12).min(third / 4);
+        let closing = (sockets / 32).clamp(2, 32);
+        let memory = working_memory(memory_mb, clients + closing + CLOSING_RESERVE);
+        let part = memory / PARTS;
+        let calls = 4 * part / REQUEST_MEMORY;
         Budget {
-            // Descriptors that are left after the reserves for the front itself, the admin interface and
-            // closing connections go to further clients.
-            clients: third + (sockets.saturating_sub(OWN_DESCRIPTORS) / 12).min(third / 4),
-            closing: (sockets / 32).clamp(2, 32),
+            clients,
+            closing,
             callers: (sockets / 16).clamp(4, MAX_ADMIN_CALLERS),
-            upstream: third.min((memory / 4 / UPSTREAM_CONNECTION_MEMORY).max(8)).max(1),
-            open: (memory / 4 / REQUEST_MEMORY).min(MAX_OPEN_REQUESTS),
-            unread: memory / 4,
-            bodies: memory / 8,
-            partial: memory / 8,
+            upstream: third.min((4 * part / UPSTREAM_CONNECTION_MEMORY).max(8)).max(1),
+            open: (calls * 3 / 4).min(MAX_OPEN_REQUESTS),
+            calls: calls.min(MAX_OPEN_REQUESTS * 2),
+            unread: 4 * part,
+            bodies: 2 * part,
+            partial: 2 * part,
+            upstream_input: 3 * part,
+            bus_input: part.max(MIN_BUS_INPUT_MEMORY),
         }
     }
 }
 
+/// Memory for requests, in bytes: what the idle front and this number of clients' connections leave.
+fn working_memory(memory_mb: usize, connections: usize) -> usize {
+    memory_mb
+        .saturating_mul(BYTES_PER_MB)
+        .saturating_sub(IDLE_MEMORY + connections * CONNECTION_MEMORY)
+        .max(MIN_WORKING_MEMORY)
+}
+
 #[cfg(test)]
 #[path = "budget/tests.rs"]
 mod tests;
--- a/crates/front/src/clients/budget/tests.rs
+++ b/crates/front/src/clients/budget/tests.rs
@@ -6,11 +6,14 @@
 fn the_budget_fits_into_the_configured_limits() {
     for (sockets, memory_mb) in [(128, 32), (256, 32), (384, 48), (1024, 192), (1024, 32), (256, 192)] {
         let b = Budget::from_limits(sockets, memory_mb);
-        let bytes = b.open * REQUEST_MEMORY
-            + b.upstream * UPSTREAM_CONNECTION_MEMORY
+        let connections = b.clients + b.closing + CLOSING_RESERVE;
+        let bytes = b.calls * REQUEST_MEMORY
+            + connections * CONNECTION_MEMORY
             + b.unread
             + b.bodies
             + b.partial
+            + b.upstream_input
+            + b.bus_input
             + IDLE_MEMORY;
         assert!(bytes <= memory_mb * BYTES_PER_MB, "{b:?}");
         assert!(b.clients + b.upstream <= sockets * 3 / 4, "{b:?}");
@@ -18,5 +21,6 @@
         let needed = b.clients + b.closing + 4 + b.callers + b.upstream + OWN_DESCRIPTORS;
         assert!(needed <= sockets, "{b:?} needs {needed} of {sockets} descriptors");
         assert!(b.clients >= sockets / 3 && b.open >= 256 && b.upstream >= 16, "{b:?}");
+        assert!(b.calls > b.open, "calls that the decision crate rejects need memory, too: {b:?}");
     }
 }
--- a/crates/front/src/clients/connection.rs
+++ b/crates/front/src/clients/connection.rs
@@ -1,6 +1,7 @@
 //! One client's connection: its open calls, the messages read from it and the answers written to it.
 
 use super::call;
+use super::client_memory::ClientMemory;
 use super::forward::{self, Answer};
 use super::msgpack_rpc::{self as rpc, Fields, Message};
 use crate::buffer::Buffer;
@@ -8,7 +9,6 @@
 use crate::invariants::Invariant;
 use crate::link::Link;
 use crate::log::Reason;
-use crate::memory::MemoryAccount;
 use crate::metrics::Outcome;
 use crate::reason_counts::EventKind;
 use crate::shared::SharedState;
@@ -20,7 +20,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -62,6 +62,8 @@
     pub(super) partial_since: Option<Instant>,
     /// Received bytes of the incomplete message.
     pub(super) partial: usize,
+    /// Memory of the received bytes that are not handled yet.
+    pub(super) input_memory: usize,
     /// Number of calls accepted so far.
     pub(super) accepted: u64,
     /// Whether the connection is being closed; it then no longer counts towards the client limit.
@@ -107,19 +109,20 @@
 }
 
 impl ClientConnection {
-    pub(super) fn new(input_memory: Arc<MemoryAccount>, unread: Arc<AtomicUsize>) -> ClientConnection {
+    pub(super) fn new(memory: &ClientMemory) -> ClientConnection {
         let open = ConnectionState {
             calls: HashMap::new(),
             idle_since: Some(Instant::now()),
             partial_since: None,
             partial: 0,
+            input_memory: 0,
             accepted: 0,
             closing: false,
             message_received: false,
             served: false,
         };
         ClientConnection {
-            link: Link::with_accounts(input_memory, unread),
+            link: Link::with_accounts(memory.input_settings(), memory.unread.clone()),
             open: Mutex::new(open),
             recent_answers: Mutex::default(),
         }
@@ -253,7 +256,7 @@
             self.send(rpc::encode_error(number, "Fault", &[("route", "none")]));
             return Ok(());
         };
-        let bytes = fields.body.len();
+        let memory = front.server.memory.clone();
         // While the front is ending or being evacuated, new calls are rejected at once: a busy connection
         // has to become idle and close before the process is killed, and a call accepted now would be lost
         // with the process.
@@ -267,22 +270,20 @@
         }
         let request = Request { budget_ms: request.budget_ms.min(front.server.remaining_ms()), ..request };
         let caller = Arc::new(Caller::default());
+        let reservation;
         {
             let mut open = lock(&self.open);
             if open.calls.contains_key(&number) {
                 return Err(Reason::Malformed);
             }
-            let bodies = &front.server.bodies;
-            if open.calls.len() >= MAX_OPEN_CALLS
-                || bodies.load(Ordering::Relaxed) + bytes > front.server.budget.bodies
-            {
+            reservation = if open.calls.len() < MAX_OPEN_CALLS { memory.reserve_call(&fields) } else { None };
+            if reservation.is_none() {
                 drop(open);
                 front.metrics.count_outcome(class, Outcome::Deferred);
                 let pause = (front.queues.retry_after_ms() as u64).to_string();
                 self.send(rpc::encode_error(number, "Shed", &[("pause", &pause)]));
                 return Ok(());
             }
-            bodies.fetch_add(bytes, Ordering::Relaxed);
             open.calls
                 .insert(number, OpenCall { id: request.id, queue: queue.clone(), caller: caller.clone() });
             open.idle_since = None;
@@ -297,7 +298,7 @@
                 forward::forward_request(&front, &queue, request, &fields, &caller)
             }));
             let answer = served.unwrap_or(Answer::Failed);
-            front.server.bodies.fetch_sub(bytes, Ordering::Relaxed);
+            drop(reservation);
             client.answer(&front, number, &caller, class, answer);
         });
         Ok(())
@@ -348,7 +349,10 @@
                 Message::UnknownNotice => {}
             }
         }
+        buffer.store();
+        buffer.expect(rpc::expected_len(buffer.data()));
         let (mut open, now) = (lock(&self.open), Instant::now());
+        open.input_memory = buffer.memory();
         if received {
             open.message_received = true;
             open.partial_since = None;
@@ -361,11 +365,11 @@
             (false, false) => return Ok(()),
         };
         open.partial_since = (partial > 0).then(|| open.partial_since.unwrap_or(now));
-        let total = replace_contribution(&front.server.partial, &mut open.partial, partial);
+        open.partial = partial;
         drop(open);
         // Clients that begin long messages and do not complete them must not use up the memory for others.
-        if partial > 0 && total > front.server.budget.partial {
-            front.server.close_highest_weight(Reason::MemoryLimit, ClientConnection::partial_message_weight);
+        if partial > 0 {
+            front.server.limit_partial_messages();
         }
         Ok(())
     }
@@ -391,7 +395,7 @@
         let (unanswered, accepted, closing) = {
             let mut open = lock(&client.open);
             let open = &mut *open;
-            replace_contribution(&server.partial, &mut open.partial, 0);
+            (open.partial, open.input_memory) = (0, 0);
             (std::mem::take(&mut open.calls), open.accepted, std::mem::replace(&mut open.closing, true))
         };
         if closing {
@@ -438,10 +442,3 @@
         Answer::None => return None,
     })
 }
-
-/// Replaces one connection's contribution to a total and returns the new total.
-fn replace_contribution(total: &AtomicUsize, contribution: &mut usize, new: usize) -> usize {
-    let before = std::mem::replace(contribution, new);
-    total.fetch_add(new, Ordering::Relaxed);
-    total.fetch_sub(before, Ordering::Relaxed) - before
-}
--- a/crates/front/src/clients/eviction.rs
+++ b/crates/front/src/clients/eviction.rs
@@ -4,6 +4,7 @@
 use super::connection::{ClientConnection, ConnectionState, MESSAGE_TIMEOUT, NEW_CONNECTION_GRACE};
 use super::server::Server;
 use crate::log::Reason;
+use crate::memory::MemoryAccount;
 use crate::shared::SharedState;
 use crate::sync::lock;
 use std::sync::atomic::Ordering;
@@ -19,21 +20,46 @@
 /// system has received. Clients are known to read 1 MB a second or less.
 const MIN_READING_SPEED: usize = 100_000;
 
+/// Priority of closing a connection when a limit on memory is exceeded; the highest is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ClosePriority {
+    /// Whether the client waits for no answer.
+    waits_for_nothing: bool,
+    /// Whether the client has never been served on this connection.
+    never_served: bool,
+    weight: u128,
+}
+
+/// Memory that a connection uses for a purpose, and the priority of closing the connection for that.
+struct MemoryUsage {
+    priority: ClosePriority,
+    memory: usize,
+}
+
 impl ClientConnection {
-    /// Priority of closing this connection when incomplete messages use too much memory: whether no call is
-    /// open, zero, and the bytes of the incomplete message. `None` if no message is incomplete.
-    pub(super) fn partial_message_weight(&self, _: Instant) -> Option<(bool, Duration, usize)> {
+    /// Priority of closing this connection when received bytes that are not handled use too much memory.
+    /// `None` if no message is incomplete: its connection's bytes are handled shortly. Connections whose
+    /// clients wait for an answer, or were served before, come last. Among the others the product of memory
+    /// and time counts, since usual clients complete their messages soon.
+    fn partial_message_usage(&self, now: Instant) -> Option<MemoryUsage> {
         let open = lock(&self.open);
-        (open.partial > 0).then_some((open.calls.is_empty(), Duration::ZERO, open.partial))
+        let incomplete_for = now.saturating_duration_since(open.partial_since?);
+        let priority = ClosePriority {
+            waits_for_nothing: open.calls.is_empty(),
+            never_served: !open.served,
+            weight: (incomplete_for.as_millis() + 1) * open.input_memory as u128,
+        };
+        Some(MemoryUsage { priority, memory: open.input_memory })
     }
 
-    /// Priority of closing this connection when unread answers use too much memory: `true`, the time for
-    /// which the client has read nothing, and the bytes of its answers that are not yet written. `None` if all
-    /// are written.
-    pub(super) fn unread_weight(&self, now: Instant) -> Option<(bool, Duration, usize)> {
-        let unwritten = self.link.unwritten_bytes();
+    /// Priority of closing this connection when unread answers use too much memory: the time for which the
+    /// client has read nothing. `None` if all its answers are written.
+    fn unread_answer_usage(&self, now: Instant) -> Option<MemoryUsage> {
+        let memory = self.link.unwritten_memory();
         let stalled = self.link.stalled_for(now)?;
-        (unwritten > 0).then_some((true, stalled, unwritten))
+        let priority =
+            ClosePriority { waits_for_nothing: true, never_served: true, weight: stalled.as_micros() };
+        (self.link.unwritten_bytes() > 0).then_some(MemoryUsage { priority, memory })
     }
 
     /// How long the connection has been idle: since its last call ended and the client has had the time to
@@ -93,29 +119,41 @@
 }
 
 impl Server {
-    /// Closes the connection for which `weight` returns the highest value, if it returns any, for the reason
-    /// `why`. Used where a shared limit is reached, because the client that happens to exceed it is not
-    /// necessarily the one at fault.
-    pub(super) fn close_highest_weight(
+    /// If connections that are not yet being closed use more than the account's limit, closes the one with
+    /// the highest priority. The client that happens to exceed a limit is not necessarily the one at fault.
+    fn close_over_limit(
         &self,
+        account: &MemoryAccount,
         why: Reason,
-        weight: impl Fn(&ClientConnection, Instant) -> Option<(bool, Duration, usize)>,
+        usage: impl Fn(&ClientConnection, Instant) -> Option<MemoryUsage>,
     ) {
+        if !account.is_exceeded() {
+            return;
+        }
         let now = Instant::now();
         let clients = lock(&self.clients);
         let open = clients.values().filter(|c| !c.link.is_closing());
-        let heaviest = open.filter_map(|c| weight(c, now).map(|w| (w, c))).max_by_key(|(w, _)| *w);
-        if let Some((_, client)) = heaviest {
+        let usages: Vec<_> = open.filter_map(|c| usage(c, now).map(|usage| (usage, c))).collect();
+        // The memory of connections that are being closed is released shortly.
+        if usages.iter().map(|(usage, _)| usage.memory).sum::<usize>() <= account.limit() {
+            return;
+        }
+        if let Some((_, client)) = usages.iter().max_by_key(|(usage, _)| (usage.priority, usage.memory)) {
             client.link.close(why);
         }
     }
 
+    /// If received bytes that are not handled use too much memory, closes the connection of an incomplete
+    /// message.
+    pub(super) fn limit_partial_messages(&self) {
+        let usage = ClientConnection::partial_message_usage;
+        self.close_over_limit(&self.memory.input, Reason::MemoryLimit, usage);
+    }
+
     /// If unread answers exceed their limit, closes the connection whose client has read nothing for
     /// longest.
     pub(super) fn limit_unread_answers(&self) {
-        if self.unread.load(Ordering::Relaxed) > self.budget.unread {
-            self.close_highest_weight(Reason::SlowReader, ClientConnection::unread_weight);
-        }
+        self.close_over_limit(&self.memory.unread, Reason::SlowReader, ClientConnection::unread_answer_usage);
     }
 
     /// Ensures that a connection that was just accepted is within the limit, if necessary by evicting
--- a/crates/front/src/clients/mod.rs
+++ b/crates/front/src/clients/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod budget;
 pub mod call;
+pub mod client_memory;
 mod connection;
 mod eviction;
 pub mod forward;
--- a/crates/front/src/clients/msgpack_rpc.rs
+++ b/crates/front/src/clients/msgpack_rpc.rs
@@ -56,10 +56,26 @@
     if data.is_empty() {
         return Ok(None);
     }
-    let Some(len) = first_value_len(data)? else { return Ok(None) };
+    let Extent::Complete(len) = first_value_extent(data)? else { return Ok(None) };
     decode_message(&data[..len]).map(|m| Some((len, m))).ok_or(RpcError::UnexpectedShape)
 }
 
+/// Length in bytes that an incomplete message has at least, as far as its beginning shows; 0 if there is none.
+pub fn expected_len(data: &[u8]) -> usize {
+    match first_value_extent(data) {
+        Ok(Extent::Incomplete(len)) if !data.is_empty() => len,
+        _ => 0,
+    }
+}
+
+/// How far the first value in some data extends.
+enum Extent {
+    /// The value is complete and has this length in bytes.
+    Complete(usize),
+    /// The value is incomplete and has at least this length in bytes.
+    Incomplete(usize),
+}
+
 /// The data that follows a MessagePack marker: a number of bytes; a length field (of the given width in
 /// bytes) and then the data; a number of values; or a count field (of the given width in bytes) and then, for
 /// each counted element, the given number of values.
@@ -107,12 +123,11 @@
     Some(digits.iter().fold(0, |n, b| n << 8 | usize::from(*b)))
 }
 
-/// Length of the first value in bytes, or `None` while it is incomplete. The contents of strings and binary
-/// data are skipped.
+/// Extent of the first value. The contents of strings and binary data are skipped.
 ///
 /// # Errors
 /// The value exceeds a limit or has a type that no message has. This is reported as soon as it is known.
-fn first_value_len(data: &[u8]) -> Result<Option<usize>, RpcError> {
+fn first_value_extent(data: &[u8]) -> Result<Extent, RpcError> {
     let mut at = 0;
     // Number of values still expected in each array or map that has begun, the innermost last.
     let mut to_come = vec![1_usize];
@@ -122,18 +137,18 @@
             continue;
         }
         *remaining -= 1;
-        let Some(byte) = data.get(at) else { return Ok(None) };
+        let Some(byte) = data.get(at) else { return Ok(Extent::Incomplete(at + 1)) };
         at += 1;
         let (bytes, values) = match payload_after(Marker::from_u8(*byte))? {
             Payload::Bytes(n) => (n, 0),
             Payload::Values(n) => (0, n),
             Payload::LengthPrefixedBytes(size) => match read_length(data, at, size) {
                 Some(n) => (size + n, 0),
-                None => return Ok(None),
+                None => return Ok(Extent::Incomplete(at + size)),
             },
             Payload::CountPrefixedValues(size, each) => match read_length(data, at, size) {
                 Some(n) => (size, n * each),
-                None => return Ok(None),
+                None => return Ok(Extent::Incomplete(at + size)),
             },
         };
         at += bytes;
@@ -148,7 +163,10 @@
             return Err(RpcError::Invalid);
         }
     }
-    Ok((at <= data.len()).then_some(at))
+    Ok(match at <= data.len() {
+        true => Extent::Complete(at),
+        false => Extent::Incomplete(at),
+    })
 }
 
 fn decode_message(data: &[u8]) -> Option<Message> {
--- a/crates/front/src/clients/server.rs
+++ b/crates/front/src/clients/server.rs
@@ -1,15 +1,15 @@
 //! Manages all client connections: accepts them, limits the resources that they use together, and closes
 //! them at shutdown.
 
+use super::client_memory::ClientMemory;
 use super::connection::{ClientConnection, ConnectionCleanup};
 use super::msgpack_rpc as rpc;
-use crate::budget::Budget;
+use crate::budget::{Budget, CLOSING_RESERVE};
 use crate::event_loop::Quantum;
 use crate::failure::Failure;
 use crate::link::Stream;
 use crate::listen::{Listener, Origin};
 use crate::log::Reason;
-use crate::memory::MemoryAccount;
 use crate::reason_counts::EventKind;
 use crate::shared::SharedState;
 use crate::spawn::spawn;
@@ -22,9 +22,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Connections allowed beyond the budgets for open and closing clients, as a margin while some are just
-/// being closed. Further clients wait in the listen queue.
-const CLOSING_RESERVE: usize = 4;
 /// First and longest wait before accepting again when no descriptor was left.
 const DESCRIPTOR_BACKOFF: [Duration; 2] = [Duration::from_millis(5), Duration::from_millis(80)];
 
@@ -34,18 +31,11 @@
     pub(super) classes: Vec<Class>,
     pub(super) clients: Mutex<HashMap<u64, Arc<ClientConnection>>>,
     pub(super) next_number: AtomicU64,
-    /// Memory of the connections' receive buffers.
-    pub(super) input_memory: Arc<MemoryAccount>,
-    /// Bytes of answers that are queued and not yet written, over all connections.
-    pub(super) unread: Arc<AtomicUsize>,
+    pub(super) memory: ClientMemory,
     /// Number of descriptors held by client connections.
     pub(super) descriptors: AtomicUsize,
     /// Number of client connections that are being closed.
     pub(super) closing: AtomicUsize,
-    /// Bytes of the bodies of open write calls.
-    pub(super) bodies: AtomicUsize,
-    /// Bytes of messages that have been received only in part.
-    pub(super) partial: AtomicUsize,
     /// Set once no further client is accepted.
     pub(super) closed: AtomicBool,
     /// When the evacuation of the front began; `None` unless it is being evacuated.
@@ -65,11 +55,13 @@
     pub connections: usize,
     /// Number of client connections that are being closed.
     pub leaving: usize,
-    /// Bytes of answers that clients have not read yet.
+    /// Memory of answers that clients have not read yet, in bytes.
     pub unread: usize,
-    /// Bytes of the bodies of open write calls.
+    /// Memory of calls whose coroutines have not ended, without the bodies of writes, in bytes.
+    pub calls: usize,
+    /// Memory of the bodies of writes among these calls, in bytes.
     pub bodies: usize,
-    /// Bytes of messages that have been received only in part.
+    /// Memory of received bytes that are not handled yet, in bytes.
     pub partial: usize,
 }
 
@@ -78,16 +70,13 @@
     /// call.
     pub fn new(budget: Budget, classes: Vec<Class>) -> Server {
         Server {
+            memory: ClientMemory::new(&budget),
             budget,
             classes,
             clients: Mutex::default(),
             next_number: AtomicU64::new(0),
-            input_memory: Arc::default(),
-            unread: Arc::default(),
             descriptors: AtomicUsize::new(0),
             closing: AtomicUsize::new(0),
-            bodies: AtomicUsize::new(0),
-            partial: AtomicUsize::new(0),
             closed: AtomicBool::new(false),
             evacuated: Mutex::new(None),
             closing_idle: AtomicBool::new(false),
@@ -100,15 +89,16 @@
         Held {
             connections: self.descriptors.load(Ordering::Relaxed),
             leaving: self.closing.load(Ordering::Relaxed),
-            unread: self.unread.load(Ordering::Relaxed),
-            bodies: self.bodies.load(Ordering::Relaxed),
-            partial: self.partial.load(Ordering::Relaxed),
+            unread: self.memory.unread.used(),
+            calls: self.memory.calls.used(),
+            bodies: self.memory.bodies.used(),
+            partial: self.memory.input.used(),
         }
     }
 
-    /// The accounts of the memory that clients make the front hold, by the name of their metrics.
-    pub fn memory_accounts(&self) -> [(&'static str, &MemoryAccount); 1] {
-        [("client_input", &self.input_memory)]
+    /// The memory that clients make the front hold.
+    pub fn memory(&self) -> &ClientMemory {
+        &self.memory
     }
 
     /// Sets the time by which the process ends; calls accepted from now on must be answered before it.
@@ -178,7 +168,7 @@
         }
         // Added at once, so that the limit check for the next connection counts this one.
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
-        let client = Arc::new(ClientConnection::new(self.input_memory.clone(), self.unread.clone()));
+        let client = Arc::new(ClientConnection::new(&self.memory));
         lock(&self.clients).insert(number, client.clone());
         let front = front.clone();
         spawn(move || front.server.serve_connection(&front, number, &client, stream, peer));
--- a/crates/front/src/clients/server/tests.rs
+++ b/crates/front/src/clients/server/tests.rs
@@ -6,7 +6,7 @@
     age: Duration,
     change: impl FnOnce(&mut ConnectionState),
 ) -> (ClientConnection, Instant) {
-    let client = ClientConnection::new(Arc::default(), Arc::default());
+    let client = ClientConnection::new(&ClientMemory::new(&Budget::from_limits(1024, 20)));
     let now = Instant::now() + age;
     change(&mut lock(&client.open));
     (client, now)
@@ -55,7 +55,7 @@
     let budget = Budget::from_limits(1024, 20);
     let server = Server::new(budget, Vec::new());
     let add = |number: u64, bytes: usize| {
-        let client = Arc::new(ClientConnection::new(Arc::default(), server.unread.clone()));
+        let client = Arc::new(ClientConnection::new(&server.memory));
         lock(&server.clients).insert(number, client.clone());
         client.send(vec![0; bytes]);
         client
--- a/crates/front/src/control/admin/answer.rs
+++ b/crates/front/src/control/admin/answer.rs
@@ -44,7 +44,9 @@
     let (violations, reasons) = (front.invariants.metric_lines(), front.reason_counts.metric_lines());
     let rejections = rejection_lines(front);
     let worker = event_loop::metric_line() + &front.main_loop_passes.metric_lines(Instant::now());
-    let memory = memory::metric_lines(&front.server.memory_accounts());
+    let (clients, upstream) = (front.server.memory().accounts(), front.upstream.memory().accounts());
+    let bus = [("bus_input", front.bus.input_memory())];
+    let memory = memory::metric_lines(&[&clients[..], &upstream, &bus].concat());
     format!("200 telemetry\n{counters}{violations}{reasons}{rejections}{worker}{memory}{view}EOF\n")
 }
 
--- a/crates/front/src/control/discovery_watch.rs
+++ b/crates/front/src/control/discovery_watch.rs
@@ -7,8 +7,9 @@
 use crate::clock::Clock;
 use crate::event_loop::Quantum;
 use crate::failure::Failure;
-use crate::link::Link;
+use crate::link::{InputSettings, Link};
 use crate::log::Reason;
+use crate::memory::MemoryAccount;
 use crate::reason_counts::EventKind;
 use crate::shared::SharedState;
 use crate::sync::lock;
@@ -128,7 +129,7 @@
 ///
 /// # Errors
 /// Returns the errors of [`WatchHistory::receive`], and [`Reason::Malformed`] for a line longer than
-/// [`MAX_LINE_BYTES`].
+/// [`MAX_LINE_BYTES`] or than its limit of memory allows.
 fn receive_lines(
     front: &SharedState,
     buffer: &mut Buffer,
@@ -150,10 +151,11 @@
         buffer.consume(end + 1);
         *scanned = 0;
     }
-    if *scanned > MAX_LINE_BYTES {
-        return Err(Reason::Malformed);
+    buffer.store();
+    match *scanned > MAX_LINE_BYTES || buffer.account().is_exceeded() {
+        true => Err(Reason::Malformed),
+        false => Ok(proves_liveness),
     }
-    Ok(proves_liveness)
 }
 
 /// Connects to the event bus.
@@ -177,6 +179,8 @@
     state: Mutex<ConnectionState>,
     starts: NodeStarts,
     seed: u64,
+    /// The memory of received bytes that are not handled yet.
+    input_memory: Arc<MemoryAccount>,
     /// The number of bus lines and events since the start that were malformed or could not be parsed.
     unusable_lines: AtomicU64,
 }
@@ -196,8 +200,8 @@
 
 impl DiscoveryWatch {
     /// Creates a watch on the bus at `addr` (`None` if there is no bus). `seed` varies the reconnection
-    /// delays between fronts.
-    pub fn new(addr: Option<SocketAddr>, seed: u64) -> DiscoveryWatch {
+    /// delays between fronts. `max_input_bytes` limits the memory of received bytes that are not handled yet.
+    pub fn new(addr: Option<SocketAddr>, seed: u64, max_input_bytes: usize) -> DiscoveryWatch {
         let addr = addr.unwrap_or(([0, 0, 0, 0], 0).into());
         DiscoveryWatch {
             state: Mutex::new(ConnectionState {
@@ -209,10 +213,16 @@
             }),
             starts: NodeStarts::default(),
             seed,
+            input_memory: Arc::new(MemoryAccount::with_limit(max_input_bytes)),
             unusable_lines: AtomicU64::new(0),
         }
     }
 
+    /// The memory of received bytes that are not handled yet.
+    pub fn input_memory(&self) -> &MemoryAccount {
+        &self.input_memory
+    }
+
     /// Changes the bus's address. The connection to the old address is closed at once, because the old bus
     /// may leave it open and send nothing more. Event offsets continue from the last event received.
     pub fn set_address(&self, addr: SocketAddr) {
@@ -249,7 +259,8 @@
             Ok(stream) => stream,
             Err(reason) => return reason,
         };
-        let link = Arc::new(Link::default());
+        let input = InputSettings { account: self.input_memory.clone(), ..InputSettings::default() };
+        let link = Arc::new(Link::with_accounts(input, Arc::default()));
         {
             let mut state = lock(&self.state);
             if state.addr != addr {
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -15,7 +15,7 @@
 pub use stream::Stream;
 pub use write_queue::{SendGate, WriteDecision};
 
-use crate::buffer::Buffer;
+use crate::buffer::{Buffer, MAX_READ_BYTES};
 use crate::event_loop::{self, Quantum};
 use crate::failure::Failure;
 use crate::log::Reason;
@@ -26,7 +26,6 @@
 use may::io::WaitIoWaker;
 use std::io::{self, ErrorKind, Read};
 use std::net::Shutdown;
-use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use write_queue::{Close, Flush, WriteQueue};
@@ -51,16 +50,29 @@
     /// descriptor.
     socket: Mutex<Option<Arc<Socket>>>,
     queue: Mutex<WriteQueue>,
+    input: InputSettings,
+}
+
+/// Settings of a link's receive buffer.
+#[derive(Clone)]
+pub struct InputSettings {
     /// The memory of the receive buffer counts towards this account.
-    input_memory: Arc<MemoryAccount>,
+    pub account: Arc<MemoryAccount>,
+    /// The fewest bytes that a read asks for.
+    pub min_read_bytes: usize,
+}
+
+impl Default for InputSettings {
+    fn default() -> InputSettings {
+        InputSettings { account: Arc::default(), min_read_bytes: MAX_READ_BYTES }
+    }
 }
 
 impl Link {
-    /// Creates a link whose receive buffer counts towards an account, and whose unwritten bytes also count
-    /// towards a total over several links.
-    pub fn with_accounts(input_memory: Arc<MemoryAccount>, total_bytes: Arc<AtomicUsize>) -> Link {
-        let queue = Mutex::new(WriteQueue::with_shared_byte_count(total_bytes));
-        Link { queue, input_memory, ..Link::default() }
+    /// Creates a link with these settings of its receive buffer. The memory of its unwritten messages counts
+    /// towards the account `output`.
+    pub fn with_accounts(input: InputSettings, output: Arc<MemoryAccount>) -> Link {
+        Link { queue: Mutex::new(WriteQueue::with_account(output)), input, ..Link::default() }
     }
 
     fn socket(&self) -> Option<Arc<Socket>> {
@@ -168,6 +180,11 @@
         lock(&self.queue).bytes()
     }
 
+    /// Memory of the messages that are queued and not yet written, in bytes.
+    pub fn unwritten_memory(&self) -> usize {
+        lock(&self.queue).memory()
+    }
+
     /// Number of bytes that the system has not delivered: zero if all were sent to the other side's receive
     /// buffer, otherwise all that are not acknowledged. The queued bytes if the system does not report it.
     pub fn undelivered_bytes(&self) -> u64 {
@@ -241,7 +258,7 @@
         mut keeps_open: impl FnMut(Reason) -> bool,
     ) -> Reason {
         let Some(socket) = self.socket() else { return Reason::Reset };
-        let mut buffer = Buffer::with_account(self.input_memory.clone());
+        let mut buffer = Buffer::with_account(self.input.account.clone(), self.input.min_read_bytes);
         let mut input = Input::Exhausted;
         loop {
             self.flush();
@@ -253,8 +270,10 @@
             };
             input = match receive_available(&socket, &mut buffer, input, &mut receive) {
                 Ok(input) => input,
-                Err(reason) => return reason,
+                // The front may have ended the connection before the other side did.
+                Err(reason) => return lock(&self.queue).immediate_close().unwrap_or(reason),
             };
+            buffer.store();
             if input == Input::MayRemain {
                 event_loop::yield_to_sockets();
                 continue;
--- a/crates/front/src/link/tests.rs
+++ b/crates/front/src/link/tests.rs
@@ -2,7 +2,6 @@
 use may::net::TcpStream;
 use std::io::Write;
 use std::net::TcpListener;
-use std::sync::atomic::Ordering;
 
 /// The two ends of a connection: the front's as a socket of the `may` crate, and the other side's.
 fn connected_pair() -> (TcpStream, std::net::TcpStream) {
@@ -162,19 +161,19 @@
 /// the connection ends.
 #[test]
 fn queued_bytes_are_released_when_written_retracted_or_abandoned() {
-    let waiting = Arc::new(AtomicUsize::new(0));
+    let waiting = Arc::new(MemoryAccount::default());
     for read in [true, false] {
         let (front, mut other) = connected_pair();
-        let link = Arc::new(Link::with_accounts(Arc::default(), waiting.clone()));
+        let link = Arc::new(Link::with_accounts(InputSettings::default(), waiting.clone()));
         link.attach(front);
         let ended = spawn_link(&link, |_| false);
         // More than the socket buffers of both ends hold.
         link.send(vec![b'x'; 32 << 20], None);
         link.send(vec![b'y'; 1000], Some(7));
-        let queued_bytes = waiting.load(Ordering::SeqCst);
+        let queued_bytes = waiting.used();
         assert!(queued_bytes > 1000 && !link.is_drained());
         assert!(link.retract(7) && !link.retract(7));
-        assert_eq!(waiting.load(Ordering::SeqCst) % (32 << 20), queued_bytes - 1000);
+        assert_eq!(waiting.used() % (32 << 20), queued_bytes - 1000);
         assert!(link
             .stalled_for(Instant::now() + Duration::from_secs(9))
             .is_some_and(|t| t > Duration::from_secs(8)));
@@ -183,7 +182,7 @@
             other.read_exact(&mut all).expect("the other side receives all bytes");
             assert!(link.stalled_for(Instant::now()).is_none());
             assert_eq!(
-                waiting.load(Ordering::SeqCst),
+                waiting.used(),
                 0,
                 "bytes are released with the last byte written, not with the next answer"
             );
@@ -195,7 +194,7 @@
             link.close(end);
         }
         assert_eq!(ended.join().expect("the link's coroutine does not panic").0, end);
-        assert_eq!(waiting.load(Ordering::SeqCst), 0);
+        assert_eq!(waiting.used(), 0);
         // The descriptor is released although the link is still referenced.
         let (_, e) = read_to_end(&other);
         assert!(matches!(e, None | Some(ErrorKind::ConnectionReset)));
--- a/crates/front/src/link/write_queue.rs
+++ b/crates/front/src/link/write_queue.rs
@@ -3,10 +3,10 @@
 use super::delivery::Delivery;
 use crate::failure::Failure;
 use crate::log::Reason;
+use crate::memory::{MemoryAccount, Reservation};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -70,8 +70,8 @@
     unconfirmed: bool,
     /// Bytes that the other side's system had acknowledged when that was last looked at.
     acknowledged_bytes: u64,
-    /// Unwritten bytes on all links that share this total.
-    total_bytes: Arc<AtomicUsize>,
+    /// Unwritten bytes, counted towards an account of several queues.
+    reservation: Reservation,
     /// How the connection is to end, once a close was requested.
     closing: Option<Close>,
     /// Whether no further message is accepted.
@@ -89,20 +89,20 @@
 
 impl Default for WriteQueue {
     fn default() -> WriteQueue {
-        WriteQueue::with_shared_byte_count(Arc::default())
+        WriteQueue::with_account(Arc::default())
     }
 }
 
 impl WriteQueue {
-    /// Creates a queue whose unwritten bytes also count towards a total over several queues.
-    pub fn with_shared_byte_count(total_bytes: Arc<AtomicUsize>) -> WriteQueue {
+    /// Creates a queue whose unwritten bytes count towards this account.
+    pub fn with_account(account: Arc<MemoryAccount>) -> WriteQueue {
         WriteQueue {
             messages: VecDeque::new(),
             bytes: 0,
             written_bytes: 0,
             unconfirmed: false,
             acknowledged_bytes: 0,
-            total_bytes,
+            reservation: Reservation::new(account),
             closing: None,
             closed: false,
             broken: false,
@@ -118,11 +118,12 @@
         if self.closed || self.is_broken() {
             return false;
         }
-        self.add_bytes(bytes.len());
         if self.messages.is_empty() && !self.unconfirmed {
             self.last_progress = Instant::now();
         }
+        self.bytes += bytes.len();
         self.messages.push_back(QueuedMessage { bytes, written: 0, tag, queued_at: Instant::now(), gate });
+        self.update_reservation();
         true
     }
 
@@ -130,24 +131,20 @@
     pub fn retract(&mut self, tag: u64) -> bool {
         let at = self.messages.iter().position(|m| m.tag == Some(tag) && m.written == 0);
         let retracted = at.and_then(|at| self.messages.remove(at));
-        self.remove_bytes(retracted.as_ref().map_or(0, |m| m.bytes.len()));
+        if let Some(message) = &retracted {
+            self.account_for_removed(message);
+        }
         retracted.is_some()
     }
 
     /// Removes all tagged messages that were queued before this time and of which no byte was written;
     /// returns their tags.
     pub fn retract_queued_before(&mut self, before: Instant) -> Vec<u64> {
-        let mut tags = Vec::new();
-        let mut bytes = 0;
-        self.messages.retain(|m| match m.tag {
-            Some(tag) if m.written == 0 && m.queued_at < before => {
-                tags.push(tag);
-                bytes += m.bytes.len();
-                false
-            }
-            _ => true,
+        let is_due = |m: &QueuedMessage| m.tag.is_some() && m.written == 0 && m.queued_at < before;
+        let tags: Vec<u64> = self.messages.iter().filter(|m| is_due(m)).filter_map(|m| m.tag).collect();
+        tags.iter().for_each(|tag| {
+            self.retract(*tag);
         });
-        self.remove_bytes(bytes);
         tags
     }
 
@@ -178,17 +175,12 @@
             match gate.map(|g| g.before_first_byte(message.queued_at)) {
                 None | Some(WriteDecision::AsQueued) => return true,
                 Some(WriteDecision::Replace(bytes)) => {
-                    let new_len = bytes.len();
-                    let old_len = std::mem::replace(&mut message.bytes, bytes).len();
-                    self.remove_bytes(old_len);
-                    self.add_bytes(new_len);
+                    self.bytes = self.bytes - message.bytes.len() + bytes.len();
+                    message.bytes = bytes;
+                    self.update_reservation();
                     return true;
                 }
-                Some(WriteDecision::Drop) => {
-                    let len = message.bytes.len();
-                    self.remove_bytes(len);
-                    self.messages.pop_front();
-                }
+                Some(WriteDecision::Drop) => self.remove_first(),
             }
         }
         false
@@ -209,9 +201,17 @@
         self.last_progress = Instant::now();
         self.written_bytes += count as u64;
         self.unconfirmed = true;
-        self.remove_bytes(count);
+        self.bytes -= count;
+        self.update_reservation();
         if complete {
-            self.messages.pop_front();
+            self.remove_first();
+        }
+    }
+
+    /// Removes the first message, written or not.
+    fn remove_first(&mut self) {
+        if let Some(message) = self.messages.pop_front() {
+            self.account_for_removed(&message);
         }
     }
 
@@ -234,6 +234,11 @@
         }
     }
 
+    /// The reason for an immediate close, if one was requested.
+    pub fn immediate_close(&self) -> Option<Reason> {
+        self.closing.filter(|c| !c.graceful).map(|c| c.reason)
+    }
+
     /// Whether a close has been requested.
     pub fn has_close_requested(&self) -> bool {
         self.closing.is_some()
@@ -284,8 +289,10 @@
     /// Closes and empties the queue; returns the tags of the messages that were not completely written.
     pub fn terminate(&mut self) -> Vec<u64> {
         self.closed = true;
-        self.remove_bytes(self.bytes);
-        std::mem::take(&mut self.messages).into_iter().filter_map(|m| m.tag).collect()
+        self.bytes = 0;
+        let messages = std::mem::take(&mut self.messages);
+        self.update_reservation();
+        messages.into_iter().filter_map(|m| m.tag).collect()
     }
 
     /// Whether a write failed for lack of buffers since the last call of this function.
@@ -318,14 +325,19 @@
         (!self.is_delivered()).then_some(self.last_progress)
     }
 
-    fn add_bytes(&mut self, count: usize) {
-        self.bytes += count;
-        self.total_bytes.fetch_add(count, Ordering::Relaxed);
+    /// Unwritten bytes, as they count towards the account.
+    pub fn memory(&self) -> usize {
+        self.reservation.bytes()
     }
 
-    fn remove_bytes(&mut self, count: usize) {
-        self.bytes -= count;
-        self.total_bytes.fetch_sub(count, Ordering::Relaxed);
+    /// Accounts for a message that was removed from the queue.
+    fn account_for_removed(&mut self, message: &QueuedMessage) {
+        self.bytes -= message.bytes.len() - message.written;
+        self.update_reservation();
+    }
+
+    fn update_reservation(&mut self) {
+        self.reservation.resize(self.bytes);
     }
 }
 
--- a/crates/front/src/link/write_queue/tests.rs
+++ b/crates/front/src/link/write_queue/tests.rs
@@ -44,25 +44,25 @@
 
 #[test]
 fn a_message_that_its_gate_drops_is_never_written_and_its_bytes_are_released() {
-    let total = Arc::new(AtomicUsize::new(0));
-    let mut queue = WriteQueue::with_shared_byte_count(total.clone());
+    let total = Arc::new(MemoryAccount::default());
+    let mut queue = WriteQueue::with_account(total.clone());
     let gate = FixedGate::new(|| WriteDecision::Drop);
     assert!(queue.push(b"dropped".to_vec(), Some(1), Some(gate.clone())));
     assert!(queue.push(b"sent".to_vec(), None, None));
-    assert_eq!((queue.bytes(), total.load(Ordering::Relaxed)), (11, 11));
+    assert_eq!((queue.bytes(), total.used()), (11, 11));
     assert_eq!(write_out(&mut queue), "sent");
-    assert_eq!((queue.bytes(), total.load(Ordering::Relaxed)), (0, 0));
+    assert_eq!((queue.bytes(), total.used()), (0, 0));
     assert!(gate.notified.lock().expect("no holder of the lock has panicked").is_empty());
 }
 
 #[test]
 fn a_message_that_its_gate_replaces_is_counted_by_its_new_bytes() {
-    let total = Arc::new(AtomicUsize::new(0));
-    let mut queue = WriteQueue::with_shared_byte_count(total.clone());
+    let total = Arc::new(MemoryAccount::default());
+    let mut queue = WriteQueue::with_account(total.clone());
     let gate = FixedGate::new(|| WriteDecision::Replace(b"a longer message".to_vec()));
     assert!(queue.push(b"message".to_vec(), Some(1), Some(gate.clone())));
     assert_eq!(write_out(&mut queue), "a longer message");
-    assert_eq!((queue.bytes(), total.load(Ordering::Relaxed)), (0, 0));
+    assert_eq!((queue.bytes(), total.used()), (0, 0));
     assert_eq!(*gate.notified.lock().expect("no holder of the lock has panicked"), ["first", "last"]);
 }
 
--- a/crates/front/src/startup.rs
+++ b/crates/front/src/startup.rs
@@ -33,6 +33,7 @@
 use crate::upstream::connection_pool::{ConnectionLimits, ConnectionPool};
 use crate::upstream::dispatch_queues::DispatchQueues;
 use crate::upstream::node_registry::NodeRegistry;
+use crate::upstream::upstream_memory::UpstreamMemory;
 use crate::view::ViewService;
 use crate::wall_clock::WallClock;
 use crate::watch_history::WatchHistory;
@@ -113,9 +114,11 @@
             idle: config.idle_timeout,
             connections: config.budget.upstream,
         };
+        let memory = UpstreamMemory::new(&config.budget);
         let (invariants, reason_counts) =
             (Arc::new(Invariants::default()), Arc::new(ReasonCounts::default()));
-        let upstream = Arc::new(ConnectionPool::new(limits, invariants.clone(), reason_counts.clone()));
+        let upstream =
+            Arc::new(ConnectionPool::new(limits, memory, invariants.clone(), reason_counts.clone()));
         CoreComponents { clock, invariants, reason_counts, upstream, evidence: EvidenceQueue::default() }
     }
 }
@@ -285,7 +288,7 @@
         upstream,
         server: Server::new(config.budget, classes),
         peers,
-        bus: DiscoveryWatch::new(config.bus, config.seed),
+        bus: DiscoveryWatch::new(config.bus, config.seed, config.budget.bus_input),
         endpoints_listed: AtomicBool::new(false),
         shutting_down: AtomicBool::new(false),
         metrics: Metrics::new(class_names),
--- a/crates/front/src/upstream/connection.rs
+++ b/crates/front/src/upstream/connection.rs
@@ -6,13 +6,14 @@
 
 use crate::buffer::Buffer;
 use crate::event_loop::Quantum;
-use crate::link::Link;
+use crate::link::{InputSettings, Link};
 use crate::log::Reason;
 use crate::sleep;
 use crate::sync::lock;
 use crate::upstream::completed_attempt::CompletedAttempt;
 use crate::upstream::in_flight_attempt::InFlightAttempt;
 use crate::upstream::resp;
+use crate::upstream::upstream_memory::UpstreamMemory;
 use fernslip::{Ending, RequestId};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -46,6 +47,9 @@
     /// Reads and writes the connection's bytes.
     pub link: Link,
     state: Mutex<ConnectionState>,
+    /// Memory of received bytes, in bytes, above which the connection is closed if all connections together
+    /// exceed their limit.
+    input_limit: usize,
 }
 
 #[derive(Default)]
@@ -83,6 +87,16 @@
 }
 
 impl Connection {
+    /// Creates a connection, before it is dialled, whose memory counts towards these accounts.
+    pub fn with_memory(memory: &UpstreamMemory) -> Connection {
+        let input = InputSettings { account: memory.input.clone(), ..InputSettings::default() };
+        Connection {
+            link: Link::with_accounts(input, memory.output.clone()),
+            state: Mutex::default(),
+            input_limit: memory.connection_input,
+        }
+    }
+
     /// Admits an attempt if the connection is usable, the id was not used on it before, and fewer than
     /// `limit` attempts are in flight. Returns whether the attempt was admitted.
     pub fn admit(&self, id: RequestId, attempt: &Arc<InFlightAttempt>, limit: usize) -> bool {
@@ -166,7 +180,8 @@
     /// quantum is used up.
     ///
     /// # Errors
-    /// [`Reason::Malformed`]: the bytes are not a valid answer, and the connection is to be closed.
+    /// The connection is to be closed. [`Reason::Malformed`]: the bytes are not a valid answer.
+    /// [`Reason::MemoryLimit`]: incomplete answers use too much memory.
     pub fn read_answers(&self, buffer: &mut Buffer, quantum: &mut Quantum) -> Result<(), Reason> {
         let mut any_complete = false;
         while !quantum.is_used_up() {
@@ -186,7 +201,13 @@
             state.suspect = false;
         }
         state.partial_answer_at = (!buffer.data().is_empty()).then_some(now);
-        Ok(())
+        drop(state);
+        buffer.store();
+        // As long as the limit is exceeded, some connection uses more than its part of it.
+        match buffer.account().is_exceeded() && buffer.memory() > self.input_limit {
+            true => Err(Reason::MemoryLimit),
+            false => Ok(()),
+        }
     }
 
     /// Checks an answer which says that the client's copy is current: it must name the tag of that copy. A
--- a/crates/front/src/upstream/connection_pool.rs
+++ b/crates/front/src/upstream/connection_pool.rs
@@ -15,6 +15,7 @@
 use crate::upstream::dialer::Dialer;
 use crate::upstream::in_flight_attempt::InFlightAttempt;
 use crate::upstream::pending_attempt::{AttemptTimes, PendingAttempt};
+use crate::upstream::upstream_memory::UpstreamMemory;
 use fernslip::facade::Attempt;
 use fernslip::{CacheId, Ending, RequestId};
 use std::collections::HashMap;
@@ -71,6 +72,7 @@
     /// The attempt in flight of each request; a request has only one at a time.
     attempts: Mutex<HashMap<RequestId, Arc<InFlightAttempt>>>,
     open_connections: Arc<AtomicUsize>,
+    memory: UpstreamMemory,
     invariants: Arc<Invariants>,
     reason_counts: Arc<ReasonCounts>,
 }
@@ -79,6 +81,7 @@
     /// Creates a pool that knows no nodes yet.
     pub fn new(
         limits: ConnectionLimits,
+        memory: UpstreamMemory,
         invariants: Arc<Invariants>,
         reason_counts: Arc<ReasonCounts>,
     ) -> ConnectionPool {
@@ -88,6 +91,7 @@
             retired: Mutex::default(),
             attempts: Mutex::default(),
             open_connections: Arc::default(),
+            memory,
             invariants,
             reason_counts,
         }
@@ -169,6 +173,11 @@
         }
     }
 
+    /// The memory that cache nodes make the front hold.
+    pub fn memory(&self) -> &UpstreamMemory {
+        &self.memory
+    }
+
     /// Number of attempts in flight.
     pub fn attempts_in_flight(&self) -> usize {
         lock(&self.attempts).len()
@@ -319,7 +328,7 @@
         in_flight: &Arc<InFlightAttempt>,
     ) -> Arc<Connection> {
         self.open_connections.fetch_add(1, Ordering::Relaxed);
-        let connection = Arc::new(Connection::default());
+        let connection = Arc::new(Connection::with_memory(&self.memory));
         connection.admit(attempt.id, in_flight, self.limits.streams);
         node.connections.push(connection.clone());
         let dialer = Dialer {
--- a/crates/front/src/upstream/connection_pool/tests.rs
+++ b/crates/front/src/upstream/connection_pool/tests.rs
@@ -12,7 +12,8 @@
         idle: Duration::from_secs(9),
         connections: 16, // half of these are reserved for other nodes
     };
-    let upstream = Arc::new(ConnectionPool::new(limits, Arc::default(), Arc::default()));
+    let upstream =
+        Arc::new(ConnectionPool::new(limits, UpstreamMemory::default(), Arc::default(), Arc::default()));
     let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("an ephemeral port can be bound");
     upstream.add_node("s-1".into(), silent.local_addr().expect("the listener has an address"), 0.0);
     let done = may::go!(move || {
@@ -48,7 +49,8 @@
         idle: Duration::from_secs(9),
         connections: 4,
     };
-    let upstream = Arc::new(ConnectionPool::new(limits, Arc::default(), Arc::default()));
+    let upstream =
+        Arc::new(ConnectionPool::new(limits, UpstreamMemory::default(), Arc::default(), Arc::default()));
     // A node that accepts connections and never answers.
     let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("an ephemeral port can be bound");
     upstream.add_node("s-1".into(), silent.local_addr().expect("the listener has an address"), 0.0);
@@ -80,7 +82,8 @@
         idle: Duration::from_secs(9),
         connections: 4,
     };
-    let upstream = Arc::new(ConnectionPool::new(limits, Arc::default(), Arc::default()));
+    let upstream =
+        Arc::new(ConnectionPool::new(limits, UpstreamMemory::default(), Arc::default(), Arc::default()));
     let node = std::net::TcpListener::bind("127.0.0.1:0").expect("an ephemeral port can be bound");
     upstream.add_node("s-1".into(), node.local_addr().expect("the listener has an address"), 0.0);
     let mut attempt = first_attempt(1);
@@ -117,7 +120,8 @@
         idle: Duration::from_secs(9),
         connections: 2,
     };
-    let upstream = Arc::new(ConnectionPool::new(limits, Arc::default(), Arc::default()));
+    let upstream =
+        Arc::new(ConnectionPool::new(limits, UpstreamMemory::default(), Arc::default(), Arc::default()));
     let nodes = ["n-1", "n-2", "n-3"].map(|id| {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("an ephemeral port can be bound");
         upstream.add_node(id.into(), listener.local_addr().expect("the listener has an address"), 0.0);
--- a/crates/front/src/upstream/dispatch_queues/tests.rs
+++ b/crates/front/src/upstream/dispatch_queues/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::upstream::connection_pool::{ConnectionLimits, ConnectionPool};
+use crate::upstream::upstream_memory::UpstreamMemory;
 use fernslip::{Action, Ending, Event, ListKind, ObjectId, Phase, Request, Router};
 use std::time::Duration;
 
@@ -102,7 +103,12 @@
     };
     let registry = Arc::new(NodeRegistry::default());
     let host = || DispatchHost {
-        upstream: Arc::new(ConnectionPool::new(limits, Arc::default(), Arc::default())),
+        upstream: Arc::new(ConnectionPool::new(
+            limits,
+            UpstreamMemory::default(),
+            Arc::default(),
+            Arc::default(),
+        )),
         peers: None,
         registry: registry.clone(),
         effects: Arc::from([]),
--- a/crates/front/src/upstream/mod.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -19,4 +19,5 @@
 pub mod send_guard;
 #[cfg(test)]
 mod test_support;
+pub mod upstream_memory;
 pub mod waiter;
--- a/crates/front/src/upstream/resp.rs
+++ b/crates/front/src/upstream/resp.rs
@@ -7,6 +7,8 @@
 const MAX_PARTS: usize = 8;
 /// Maximum size of one part in bytes: 240,000 for the largest object, and a margin.
 const MAX_PART_BYTES: usize = 300 * 1024;
+/// Maximum size of all parts in bytes: the largest object, and the other parts, which are short.
+const MAX_ARRAY_BYTES: usize = MAX_PART_BYTES + 16 * 1024;
 /// A length or count with this many digits or more is rejected.
 const DIGITS_LIMIT: usize = 10;
 
@@ -92,9 +94,11 @@
         return Err(RespError::TooLong);
     }
     let mut parts = Vec::with_capacity(count);
+    let mut array_bytes = 0;
     for _ in 0..count {
         let Some((len, behind)) = parse_header(rest, b'$')? else { return Ok(None) };
-        if len > MAX_PART_BYTES {
+        array_bytes += len;
+        if len > MAX_PART_BYTES || array_bytes > MAX_ARRAY_BYTES {
             return Err(RespError::TooLong);
         }
         let Some((text, behind)) = behind.split_at_checked(len) else { return Ok(None) };
