Front: unread answers count by the memory that they occupy, and written bytes are released

Seen by callers: two clients that send calls of six bytes and read no answer bring a front with a limit of 32 MB to 40 MB, so the platform kills it.

The limit on unread answers counted the bytes that wait (24 for a refusal), not the entry in the queue, the block, and what the allocator adds (some 170 bytes); the queue kept its longest capacity; a long answer occupied its whole length until its last byte was written. Ruled out: receive buffers (4 KB for each client in this load), and the system's own buffers, which do not belong to the process.

Change: the write queue's reservation is the memory of its blocks and of its capacity. A queue that becomes shorter gives capacity back, an empty one all of it. Of an answer that is mostly written, only the rest stays. Messages with a tag or a gate (requests to cache nodes) stay whole, since they can be retracted.

Why it works: the existing limit now compares what the process holds with the answers' part of the memory.

Tests of the write queue and of the link asked for the bytes that wait; they ask for the exact memory now, and for the bytes beside it.

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -157,3 +157,25 @@
         watch.finish(name);
     }
 }
+
+/// Clients that read nothing have many short answers waiting: each occupies a multiple of its bytes.
+#[test]
+fn short_answers_that_are_not_read_count_by_the_memory_that_they_occupy() {
+    let _alone = run_alone();
+    let mut front = start_front("unread-short");
+    let watch = Watch::start(&front);
+    // `[0, 7, "x", []]`, which is refused because the class does not exist.
+    let calls = [0x94, 0x00, 0x07, 0xa1, b'x', 0x90].repeat(10_000);
+    let threads = [0, 1].map(|_| {
+        let (mut client, calls) = (front.connect(), calls.clone());
+        client.set_write_timeout(Some(SEND_TIMEOUT)).expect("the socket option can be set");
+        std::thread::spawn(move || {
+            let _ = (0..60).all(|_| client.write_all(&calls).is_ok());
+            client
+        })
+    });
+    let clients = threads.map(|t| t.join().expect("the thread does not panic"));
+    front.wait_for_log("reason=slow_reader");
+    watch.finish("unread-short");
+    drop(clients);
+}
--- a/crates/front/src/clients/server/tests.rs
+++ b/crates/front/src/clients/server/tests.rs
@@ -60,7 +60,7 @@
         client.send(vec![0; bytes]);
         client
     };
-    let stalled = add(1, budget.unread - 10);
+    let stalled = add(1, budget.unread - 2000);
     std::thread::sleep(Duration::from_millis(5));
     let reading = add(2, 10);
     server.limit_unread_answers();
@@ -68,7 +68,7 @@
         !stalled.link.is_closing() && !reading.link.is_closing(),
         "unread answers are within their limit"
     );
-    assert!(reading.send(vec![0; 10]));
+    assert!(reading.send(vec![0; 2000]));
     server.limit_unread_answers();
     assert_eq!((stalled.link.is_closing(), reading.link.is_closing()), (true, false));
 }
--- a/crates/front/src/link/tests.rs
+++ b/crates/front/src/link/tests.rs
@@ -170,10 +170,11 @@
         // More than the socket buffers of both ends hold.
         link.send(vec![b'x'; 32 << 20], None);
         link.send(vec![b'y'; 1000], Some(7));
-        let queued_bytes = waiting.used();
-        assert!(queued_bytes > 1000 && !link.is_drained());
+        let (queued_bytes, memory) = (link.unwritten_bytes(), waiting.used());
+        assert!(queued_bytes > 1000 && memory >= queued_bytes && !link.is_drained());
         assert!(link.retract(7) && !link.retract(7));
-        assert_eq!(waiting.used() % (32 << 20), queued_bytes - 1000);
+        assert_eq!(link.unwritten_bytes() % (32 << 20), queued_bytes - 1000);
+        assert_eq!(waiting.used(), memory - crate::memory::block_memory(1000));
         assert!(link
             .stalled_for(Instant::now() + Duration::from_secs(9))
             .is_some_and(|t| t > Duration::from_secs(8)));
@@ -182,8 +183,8 @@
             other.read_exact(&mut all).expect("the other side receives all bytes");
             assert!(link.stalled_for(Instant::now()).is_none());
             assert_eq!(
-                waiting.used(),
-                0,
+                (link.unwritten_bytes(), waiting.used()),
+                (0, 0),
                 "bytes are released with the last byte written, not with the next answer"
             );
         }
--- a/crates/front/src/link/write_queue.rs
+++ b/crates/front/src/link/write_queue.rs
@@ -3,13 +3,20 @@
 use super::delivery::Delivery;
 use crate::failure::Failure;
 use crate::log::Reason;
-use crate::memory::{MemoryAccount, Reservation};
+use crate::memory::{block_memory, MemoryAccount, Reservation};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Instant;
 
+/// A message of which at least this many bytes and half of its length are written is moved to a smaller block.
+const MIN_RELEASED_BYTES: usize = 16 * 1024;
+/// A queue whose capacity is more than this many times its length is reduced to twice its length.
+const MAX_SPARE_CAPACITY: usize = 4;
+/// The capacity, in messages, below which a queue is not reduced.
+const MIN_REDUCED_CAPACITY: usize = 32;
+
 /// What to do with a message whose first byte is about to be written.
 pub enum WriteDecision {
     /// Write the message as it was queued.
@@ -41,6 +48,23 @@
     gate: Option<Arc<dyn SendGate>>,
 }
 
+impl QueuedMessage {
+    /// Memory of the message's bytes.
+    fn memory(&self) -> usize {
+        block_memory(self.bytes.capacity())
+    }
+
+    /// Releases the memory of the bytes that are written, if they are most of the message. Messages that can
+    /// be retracted, or that a gate is notified of, stay as they are.
+    fn release_written(&mut self) {
+        let is_most = self.written >= MIN_RELEASED_BYTES && self.written >= self.bytes.len() / 2;
+        if is_most && self.tag.is_none() && self.gate.is_none() {
+            self.bytes = self.bytes.split_off(self.written);
+            self.written = 0;
+        }
+    }
+}
+
 /// The reason for which a connection is to end, and whether gracefully.
 #[derive(Clone, Copy)]
 pub(super) struct Close {
@@ -70,7 +94,9 @@
     unconfirmed: bool,
     /// Bytes that the other side's system had acknowledged when that was last looked at.
     acknowledged_bytes: u64,
-    /// Unwritten bytes, counted towards an account of several queues.
+    /// Memory of the bytes of all queued messages.
+    message_memory: usize,
+    /// Memory of the queue.
     reservation: Reservation,
     /// How the connection is to end, once a close was requested.
     closing: Option<Close>,
@@ -94,7 +120,7 @@
 }
 
 impl WriteQueue {
-    /// Creates a queue whose unwritten bytes count towards this account.
+    /// Creates a queue whose memory counts towards this account.
     pub fn with_account(account: Arc<MemoryAccount>) -> WriteQueue {
         WriteQueue {
             messages: VecDeque::new(),
@@ -102,6 +128,7 @@
             written_bytes: 0,
             unconfirmed: false,
             acknowledged_bytes: 0,
+            message_memory: 0,
             reservation: Reservation::new(account),
             closing: None,
             closed: false,
@@ -122,7 +149,9 @@
             self.last_progress = Instant::now();
         }
         self.bytes += bytes.len();
-        self.messages.push_back(QueuedMessage { bytes, written: 0, tag, queued_at: Instant::now(), gate });
+        let message = QueuedMessage { bytes, written: 0, tag, queued_at: Instant::now(), gate };
+        self.message_memory += message.memory();
+        self.messages.push_back(message);
         self.update_reservation();
         true
     }
@@ -155,7 +184,10 @@
             match socket.write(&message.bytes[message.written..]) {
                 Ok(n) => self.record_written(n),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Flush::Blocked,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.release_written();
+                    return Flush::Blocked;
+                }
                 Err(e) => {
                     // If the machine has no buffers, the connection's coroutine tries again.
                     self.starved = Failure::classify(&e).is_transient();
@@ -176,7 +208,9 @@
                 None | Some(WriteDecision::AsQueued) => return true,
                 Some(WriteDecision::Replace(bytes)) => {
                     self.bytes = self.bytes - message.bytes.len() + bytes.len();
+                    self.message_memory -= message.memory();
                     message.bytes = bytes;
+                    self.message_memory += message.memory();
                     self.update_reservation();
                     return true;
                 }
@@ -215,6 +249,15 @@
         }
     }
 
+    /// Releases what is written of the first message.
+    fn release_written(&mut self) {
+        let Some(message) = self.messages.front_mut() else { return };
+        self.message_memory -= message.memory();
+        message.release_written();
+        self.message_memory += message.memory();
+        self.update_reservation();
+    }
+
     /// Requests a close. An immediate close overrides a graceful one that was requested before.
     pub fn request_close(&mut self, close: Close) {
         if self.closing.is_none_or(|c| c.graceful && !close.graceful) {
@@ -289,7 +332,7 @@
     /// Closes and empties the queue; returns the tags of the messages that were not completely written.
     pub fn terminate(&mut self) -> Vec<u64> {
         self.closed = true;
-        self.bytes = 0;
+        (self.bytes, self.message_memory) = (0, 0);
         let messages = std::mem::take(&mut self.messages);
         self.update_reservation();
         messages.into_iter().filter_map(|m| m.tag).collect()
@@ -325,7 +368,7 @@
         (!self.is_delivered()).then_some(self.last_progress)
     }
 
-    /// Unwritten bytes, as they count towards the account.
+    /// Memory of the queue and its messages, in bytes.
     pub fn memory(&self) -> usize {
         self.reservation.bytes()
     }
@@ -333,11 +376,17 @@
     /// Accounts for a message that was removed from the queue.
     fn account_for_removed(&mut self, message: &QueuedMessage) {
         self.bytes -= message.bytes.len() - message.written;
+        self.message_memory -= message.memory();
+        let (len, capacity) = (self.messages.len(), self.messages.capacity());
+        if len == 0 || capacity >= MIN_REDUCED_CAPACITY && capacity > len * MAX_SPARE_CAPACITY {
+            self.messages.shrink_to(len * 2);
+        }
         self.update_reservation();
     }
 
     fn update_reservation(&mut self) {
-        self.reservation.resize(self.bytes);
+        let queue = block_memory(self.messages.capacity() * size_of::<QueuedMessage>());
+        self.reservation.resize(self.message_memory + queue);
     }
 }
 
