Front: the coroutines of calls are limited by their memory, and few spare ones are kept

Seen by callers: 208 clients that have 32 calls open each, as the protocol allows, bring a front with a limit of 32 MB to 60 MB at once; the same calls taken back at once, 59 MB (release build, trials of the untouched program).

Cause: each accepted call starts a coroutine before the decision crate rejects those over its limit of open requests, so the number of coroutines (a stack of some 8 KB each) had no limit but that of the connections. After that `may` kept a thousand of them with their touched stacks, created at the start of the process: 7 MB of its 9.4 MB when idle. Ruled out by the accounts: receive buffers, unread answers and bodies, 1 MB together in this load.

Change: a call reserves the memory of an open request until its coroutine ends; calls beyond a limit, a third above the limit of open requests, are rejected before a coroutine starts, as those over the connection's 32 are. The decision crate still chooses whom to reject up to there. 128 spare coroutines are kept instead of 1,000; the stacks of others are released when they end.

Why it works: no input makes a coroutine without a reservation.

Measured result: the new test `calls_at_once_on_all_connections_stay_within_the_memory` fails before (77,500 KB at 32 MB, debug build) and passes.

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::scripted::{encode_call, read_answer, set_node_address, ScriptedFront};
+use common::scripted::{encode_call, encode_cancel, read_answer, set_node_address, ScriptedFront};
 use common::Node;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -48,6 +48,15 @@
     status.lines().filter(|l| l.starts_with("RssAnon:") || l.starts_with("RssShmem:")).map(kb).sum()
 }
 
+/// What a usual client gets during a load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Expected {
+    /// Each of its calls is served.
+    Served,
+    /// Each of its calls is answered in time, maybe with a rejection: the open requests are at their limit.
+    Answered,
+}
+
 /// A thread that reads the memory of a front, and a usual client that calls all the time.
 struct Watch {
     stop: Arc<AtomicBool>,
@@ -56,7 +65,7 @@
 }
 
 impl Watch {
-    fn start(front: &ScriptedFront) -> Watch {
+    fn start(front: &ScriptedFront, expected: Expected) -> Watch {
         let stop = Arc::new(AtomicBool::new(false));
         let (pid, stopped) = (front.child.id(), stop.clone());
         let memory = std::thread::spawn(move || {
@@ -76,7 +85,11 @@
                 let _ = client.write_all(&bytes);
                 let answer = read_answer(&mut client);
                 let late = sent.elapsed() > Duration::from_millis(PATIENCE_MS + 500);
-                if late || !answer.starts_with(&format!("[1,{call},null,")) {
+                let start = match expected {
+                    Expected::Served => format!("[1,{call},null,"),
+                    Expected::Answered => format!("[1,{call},"),
+                };
+                if late || !answer.starts_with(&start) {
                     wrong.push(format!("after {:?}: {}", sent.elapsed(), &answer[..answer.len().min(100)]));
                 }
                 if stopped.load(Ordering::SeqCst) || wrong.len() > 5 {
@@ -141,7 +154,7 @@
         ("refused-begun", [56_000, 56_000], 40_000),
     ] {
         let front = start_front(name);
-        let watch = Watch::start(&front);
+        let watch = Watch::start(&front, Expected::Served);
         let calls: Vec<u8> = lengths.iter().zip(1..).flat_map(|(len, n)| refused_call(n, *len)).collect();
         let all = [&calls[..], &refused_call(3, 50_000)[..begun]].concat();
         let mut clients: Vec<TcpStream> = (0..CONNECTIONS).map(|_| connect_reader(&front)).collect();
@@ -158,12 +171,33 @@
     }
 }
 
+/// Every client has as many calls open as it may and takes them back at once: a call that is rejected or
+/// cancelled occupies a coroutine until that has run, so their number is limited.
+#[test]
+fn calls_at_once_on_all_connections_stay_within_the_memory() {
+    let _alone = run_alone();
+    for (name, cancels) in [("calls-at-once", false), ("calls-cancelled", true)] {
+        let front = start_front(name);
+        let watch = Watch::start(&front, Expected::Answered);
+        let mut clients: Vec<TcpStream> = (0..CONNECTIONS).map(|_| connect_reader(&front)).collect();
+        for round in 0..4 {
+            for (n, client) in (0..).zip(&mut clients) {
+                let trace = |call: u32| 2 << 40 | round << 32 | (n * 64 + u64::from(call));
+                let calls = (0..32).map(|c| encode_call(c, READ_CLASS, trace(c), PATIENCE_MS, &[]));
+                let cancel = (0..32).map(encode_cancel).filter(|_| cancels);
+                let _ = client.write_all(&calls.chain(cancel).flatten().collect::<Vec<u8>>());
+            }
+        }
+        watch.finish(name);
+    }
+}
+
 /// Clients that read nothing have many short answers waiting: each occupies a multiple of its bytes.
 #[test]
 fn short_answers_that_are_not_read_count_by_the_memory_that_they_occupy() {
     let _alone = run_alone();
     let mut front = start_front("unread-short");
-    let watch = Watch::start(&front);
+    let watch = Watch::start(&front, Expected::Served);
     // `[0, 7, "x", []]`, which is refused because the class does not exist.
     let calls = [0x94, 0x00, 0x07, 0xa1, b'x', 0x90].repeat(10_000);
     let threads = [0, 1].map(|_| {
--- a/crates/front/src/clients/client_memory.rs
+++ b/crates/front/src/clients/client_memory.rs
@@ -36,7 +36,7 @@
         ClientMemory {
             input: account(budget.partial),
             unread: account(budget.unread),
-            calls: Arc::default(),
+            calls: account(budget.calls * REQUEST_MEMORY),
             bodies: account(budget.bodies),
         }
     }
--- a/crates/front/src/startup.rs
+++ b/crates/front/src/startup.rs
@@ -47,6 +47,9 @@
 const WORKER_THREADS: usize = 1;
 /// The stack size of a coroutine, in words. Only pages that are touched use memory.
 const COROUTINE_STACK_WORDS: usize = 0x4000;
+/// The number of coroutines that are kept for reuse with their stacks. The stacks of others are released when
+/// they end.
+const SPARE_COROUTINES: usize = 128;
 /// The longest pause between two runs of the decision crate's timers.
 const MAX_TIMER_INTERVAL: Duration = Duration::from_millis(5);
 /// How long binding an address is retried. A process that replaces another has 6 s to become ready.
@@ -59,7 +62,10 @@
 /// loop panicked.
 pub fn start(loaded: LoadedConfig, signals: Signals) -> Result<(), StartError> {
     let LoadedConfig { mut config, plan, gossip, view, site } = loaded;
-    may::config().set_workers(WORKER_THREADS).set_stack_size(COROUTINE_STACK_WORDS);
+    may::config()
+        .set_workers(WORKER_THREADS)
+        .set_stack_size(COROUTINE_STACK_WORDS)
+        .set_pool_capacity(SPARE_COROUTINES);
     if let Err(e) = event_loop::start() {
         tracing::warn!("the event descriptor of the event loop is opened later: {e}");
     }
