Front: a line of the event bus is parsed in parts, so that it does not multiply in memory

Seen by callers: one line of 4 MB from the event bus brings a front with a limit of 32 MB to 54 MB (release build, a trial of the untouched program), and the platform kills it.

Cause: a whole line was parsed into a tree of JSON values before anything of it was looked at. An empty array of three bytes takes 32 bytes there, an object of one member over 600. Ruled out: the receive buffer (a line of 4 MB of spaces: 13.6 MB).

Change: a line is split into its outermost keys, whose texts stay where they were received. An event with a part that cannot be parsed still counts as received.

`the_list_of_the_largest_fleet_is_parsed` holds that 3,300 entries fit at 32 MB.

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -213,3 +213,23 @@
     watch.finish("unread-short");
     drop(clients);
 }
+
+/// The event bus sends a line whose parsed form would occupy many times its length: the line is refused or
+/// parsed in parts, and discovery goes on.
+#[test]
+fn a_line_of_the_event_bus_does_not_multiply_in_memory() {
+    let _alone = run_alone();
+    let mut front = start_front("bus-line");
+    assert_eq!(front.step("bus", "<", ""), "from 1");
+    let watch = Watch::start(&front, Expected::Served);
+    for line in [
+        format!(r#"{{"offset":2,"later":[{}]}}"#, vec!["[]"; 300_000].join(",")),
+        format!(r#"{{"offset":3,"topology":{{"servers":[{}]}}}}"#, vec!["{}"; 300_000].join(",")),
+        format!(r#"{{"offset":4,"ban":{{"url":[{}]}}}}"#, vec!["{\"a\":0}"; 100_000].join(",")),
+    ] {
+        front.step("bus", ">", &line);
+    }
+    front.step("bus", ">", r#"{"offset":5,"later":{}}"#);
+    front.wait_for_log("bus offset=5");
+    watch.finish("bus-line");
+}
--- a/crates/front/src/control/watch_event/tests.rs
+++ b/crates/front/src/control/watch_event/tests.rs
@@ -54,3 +54,51 @@
     let servers = [json!({ "id": "a", "state": "Resting" })];
     assert!(parse_event(&json!({ "topology": { "servers": servers } }), &configured_names()).is_err());
 }
+
+/// An event that a line holds is parsed whatever else the line says, and a part of it that is too long is
+/// refused alone: a line that could not be split would be requested again forever.
+#[test]
+fn a_line_is_split_into_its_offset_and_its_event() {
+    let event = |line: &str| match split_line(line.as_bytes()) {
+        Some(Line::Event(offset, event)) => Some((offset, event.parse(&configured_names()))),
+        _ => None,
+    };
+    assert!(matches!(split_line(b" 7 "), Some(Line::LastOffset(7))));
+    for line in ["-1", "7.5", "[7]", "{}", "{\"offset\":\"7\"}", "{\"offset\":7", "\u{fffd}"] {
+        assert!(split_line(line.as_bytes()).is_none(), "{line}");
+    }
+    let unknown = event(r#"{"topology":null,"later":[[{"a":[]}]],"ban":3,"offset":7}"#);
+    assert!(matches!(unknown, Some((7, Ok(WatchEvent::Unknown)))));
+    let not_a_list = event(r#"{"offset":8,"topology":{"full":true,"servers":{}}}"#);
+    assert!(matches!(not_a_list, Some((8, Err(_)))));
+    let padding = "x".repeat(MAX_PARSED_BYTES);
+    let long_purge = event(&format!(r#"{{"offset":9,"ban":{{"url":"{padding}","tag":1,"ts":2}}}}"#));
+    assert!(matches!(long_purge, Some((9, Err(_)))));
+}
+
+/// The list of the largest fleet, with its parents and the origin, is accepted; a list far beyond that is not.
+#[test]
+fn the_list_of_the_largest_fleet_is_parsed() {
+    let line = |nodes: usize| {
+        let node = |n: usize| {
+            format!(
+                r#"{{"id":"node-{n}","addr":"10.3.{}.{}:65000","zone":"edge-1","kind":"standard","cell":0,"state":"Ready","weight":1.5,"started_ms":1764000000000}}"#,
+                n / 256,
+                n % 256
+            )
+        };
+        let nodes: Vec<String> = (0..nodes).map(node).collect();
+        format!(r#"{{"offset":7,"topology":{{"version":7,"full":true,"servers":[{}]}}}}"#, nodes.join(","))
+    };
+    let parse = |line: &str| match split_line(line.as_bytes()) {
+        Some(Line::Event(7, event)) => event.parse(&configured_names()),
+        other => panic!("the line holds an event, got {other:?}"),
+    };
+    let largest = line(3_300);
+    let smallest_limit = crate::budget::Budget::from_limits(1024, 32).bus_input;
+    assert!(largest.len() * 5 / 4 < smallest_limit, "{} of {smallest_limit} bytes", largest.len());
+    assert!(
+        matches!(parse(&largest), Ok(WatchEvent::EndpointList { full: true, nodes }) if nodes.len() == 3_300)
+    );
+    assert!(parse(&line(MAX_LISTED_NODES + 1)).is_err());
+}
--- a/crates/front/src/control/watch_history.rs
+++ b/crates/front/src/control/watch_history.rs
@@ -8,11 +8,10 @@
 //! draining in that list unless it has started since, because the event about its drain may be among those
 //! lost.
 
-use super::watch_event::{self, ListedNode, WatchEvent};
+use super::watch_event::{self, Line, ListedNode, WatchEvent};
 use crate::log::Reason;
 use fernslip::json::{JsonError, Names};
 use fernslip::{CacheId, Entry, Phase};
-use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
 
 /// The number of consecutive last offsets below this front's offset after which the bus counts as renumbered.
@@ -105,15 +104,14 @@
         if line.iter().all(u8::is_ascii_whitespace) {
             return Ok(ReceivedLine::NothingNew);
         }
-        let value: Value = serde_json::from_slice(line).map_err(|_| Reason::Malformed)?;
-        if let Some(last) = value.as_u64() {
-            return self.receive_last_offset(last);
-        }
-        let offset = value["offset"].as_u64().ok_or(Reason::Malformed)?;
+        let (offset, event) = match watch_event::split_line(line).ok_or(Reason::Malformed)? {
+            Line::LastOffset(last) => return self.receive_last_offset(last),
+            Line::Event(offset, event) => (offset, event),
+        };
         if offset <= self.offset {
             return Ok(ReceivedLine::NothingNew);
         }
-        let parsed = watch_event::parse_event(&value, names);
+        let parsed = event.parse(names);
         self.advance_to(offset, &parsed)?;
         let event = match parsed {
             Ok(event) => event,
--- a/crates/front/src/control/watch_history/tests.rs
+++ b/crates/front/src/control/watch_history/tests.rs
@@ -1,6 +1,7 @@
 //! Unit tests of the discovery watch's history.
 
 use super::*;
+use serde_json::Value;
 
 fn configured_names() -> Names {
     let text = include_str!("../../../../../examples/config.json");
