Front: an integer in a call has at most 20 digits, however many are zeros

Seen by callers: 60 clients with 32 open calls each, whose `slice` is 50,000 digits, nearly all zeros, bring a front with a limit of 32 MB to 51 MB (release build, a trial of the untouched program), and it does not fall while the calls are open.

Cause: the number was checked, its text was not, and an open call holds its fields as they were received. The limit on the bodies of open calls does not count fields, which are otherwise bounded: ids have 16 digits, a tag at most 64 characters.

Change: an integer with more digits than the largest 64-bit number is reported as an invalid field. Up to 20 digits leading zeros stay allowed.

--- a/crates/front/src/clients/call.rs
+++ b/crates/front/src/clients/call.rs
@@ -14,6 +14,9 @@
 const MAX_SIZE_KB: f64 = 1e9;
 /// Longest body of a write, in bytes.
 const MAX_BODY_BYTES: usize = 48_000;
+/// Most digits of an integer: as many as the largest 64-bit number has. What a call holds is bounded by that,
+/// since its fields are stored as they were received.
+const MAX_INTEGER_DIGITS: usize = 20;
 /// Longest tag of a copy, in bytes.
 const MAX_TAG_BYTES: usize = 64;
 
@@ -73,9 +76,13 @@
     u64::from_str_radix(text, 16).ok().filter(|_| digits)
 }
 
-/// Parses an integer of ASCII digits only; a leading `+`, which `str::parse` accepts, is rejected.
+/// Parses an integer of ASCII digits only; a leading `+`, which `str::parse` accepts, is rejected, and so is a
+/// number of leading zeros that makes the text longer than any number.
 fn parse_integer(text: &str) -> Option<u64> {
-    text.parse().ok().filter(|_| text.bytes().all(|b| b.is_ascii_digit()))
+    text.parse()
+        .ok()
+        .filter(|_| text.len() <= MAX_INTEGER_DIGITS)
+        .filter(|_| text.bytes().all(|b| b.is_ascii_digit()))
 }
 
 /// Parses ASCII digits with an optional fraction. Other forms that `str::parse` accepts (a sign, an
--- a/crates/front/src/clients/call/tests.rs
+++ b/crates/front/src/clients/call/tests.rs
@@ -80,3 +80,19 @@
         CallError::DuplicateField
     );
 }
+
+/// An open call holds its fields as they were received: leading zeros must not make one of them as long as a
+/// message may be, 32 times on each connection.
+#[test]
+fn an_integer_has_no_more_digits_than_the_largest_one() {
+    let padded = |digits: usize| format!("{}3", "0".repeat(digits - 1));
+    let parse = |name: &str, digits: usize| {
+        parse_with_changed_fields("statement-docs", &[(name, Some(&padded(digits)))], 0)
+    };
+    for name in ["slice", "set"] {
+        assert!(parse(name, MAX_INTEGER_DIGITS).is_ok(), "{name}");
+        for digits in [MAX_INTEGER_DIGITS + 1, 50_000] {
+            assert_eq!(parse(name, digits).unwrap_err(), CallError::InvalidField(name), "{digits} digits");
+        }
+    }
+}
