Decision crate: the filters of a node occupy memory from the first request on

Cause: each node of the location has two generations of 8 KB of counters, allocated when the node is listed, whether or not the front ever sends to it. Ruled out: the line and its parsing (1 MB), nodes of other locations (3,300 of them: 3.8 MB).

Change: a generation allocates its counters at the first increment and gives them back when it is dropped. The logic on counters is one type instead of functions over byte slices.

Tests of the decision crate pass. A node that gets requests still takes up to 16 KB; fronts of a large location send to few of its nodes at their traffic.

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -233,3 +233,25 @@
     front.wait_for_log("bus offset=5");
     watch.finish("bus-line");
 }
+
+/// The event bus lists the largest fleet in one location: a node that gets no request occupies little, since a
+/// router of a large location sends to few of its nodes. No client calls meanwhile, because the time that a
+/// decision takes grows with the nodes.
+#[test]
+fn the_largest_fleet_in_one_location_fits_into_the_memory() {
+    let _alone = run_alone();
+    let mut front = start_front("largest-fleet");
+    assert_eq!(front.step("bus", "<", ""), "from 1");
+    let node = |n: usize| {
+        let addr = format!("127.1.{}.{}:9", n / 256, n % 256);
+        serde_json::json!({"id": format!("node-{n}"), "addr": addr, "zone": "edge-1", "kind": "standard",
+                           "cell": 0, "state": "Ready", "weight": 1, "started_ms": 0})
+    };
+    let servers: Vec<_> = (0..3_200).map(node).collect();
+    let list = serde_json::json!({"offset": 2, "topology": {"full": false, "servers": servers}});
+    front.step("bus", ">", &list.to_string());
+    front.wait_for_log("bus offset=2");
+    std::thread::sleep(SETTLING_TIME);
+    let kb = private_kb(front.child.id());
+    assert!(kb > 0 && kb <= MEMORY_MB * 1024, "{kb} KB of {MEMORY_MB} MB in use");
+}
--- a/crates/fernslip/src/filter.rs
+++ b/crates/fernslip/src/filter.rs
@@ -23,11 +23,45 @@
 
 const MAX_COUNTER: u8 = 15;
 
+/// The 4-bit counters of one generation, two in a byte. They occupy memory only from the first increment on:
+/// most nodes of a large location get few requests from one router.
+#[derive(Clone, Debug, Default)]
+struct Generation(Vec<u8>);
+
+impl Generation {
+    fn counter(&self, at: u32) -> u8 {
+        self.0.get(at as usize / 2).map_or(0, |byte| (byte >> (at % 2 * 4)) & MAX_COUNTER)
+    }
+
+    /// Increments (`up`) or decrements one of `counters` counters.
+    fn step_counter(&mut self, at: u32, up: bool, counters: usize) {
+        let v = self.counter(at);
+        // A counter at its maximum no longer has an exact count, so it stays at the maximum until its
+        // generation is dropped.
+        let new = match (v, up) {
+            (MAX_COUNTER, _) | (0, false) => return,
+            (_, true) => v + 1,
+            (_, false) => v - 1,
+        };
+        if self.0.is_empty() {
+            self.0 = vec![0; counters / 2];
+        }
+        let (byte, shift) = (&mut self.0[at as usize / 2], at % 2 * 4);
+        *byte = (*byte & !(MAX_COUNTER << shift)) | (new << shift);
+    }
+
+    fn min_counter(&self, positions: &[u32]) -> u8 {
+        positions.iter().map(|&p| self.counter(p)).min().unwrap_or(0)
+    }
+}
+
 /// Counting Bloom filter with two generations of 4-bit counters.
 #[derive(Clone, Debug)]
 pub struct Filter {
-    current: Vec<u8>,
-    previous: Vec<u8>,
+    current: Generation,
+    previous: Generation,
+    /// Number of counters in one generation, an even number.
+    counters: usize,
     hashes: usize,
 }
 
@@ -42,13 +76,18 @@
     /// Creates an empty filter with `counters` counters (at least two, rounded up to an even number) and one
     /// to four `hashes`.
     pub fn new(counters: usize, hashes: usize) -> Self {
-        let n = counters.max(2).div_ceil(2);
-        Filter { current: vec![0; n], previous: vec![0; n], hashes: hashes.clamp(1, 4) }
+        let (current, previous) = (Generation::default(), Generation::default());
+        Filter {
+            current,
+            previous,
+            counters: counters.max(2).next_multiple_of(2),
+            hashes: hashes.clamp(1, 4),
+        }
     }
 
     /// Number of counters in one generation.
     pub fn counters(&self) -> usize {
-        self.current.len() * 2
+        self.counters
     }
 
     /// Positions of a key's counters, each once, in ascending order.
@@ -60,27 +99,6 @@
         positions
     }
 
-    fn counter(generation: &[u8], at: u32) -> u8 {
-        (generation[at as usize / 2] >> (at % 2 * 4)) & MAX_COUNTER
-    }
-
-    fn step_counter(generation: &mut [u8], at: u32, up: bool) {
-        let (byte, shift) = (&mut generation[at as usize / 2], at % 2 * 4);
-        let v = (*byte >> shift) & MAX_COUNTER;
-        // A counter at its maximum no longer has an exact count, so it stays at the maximum until its
-        // generation is dropped.
-        let new = match (v, up) {
-            (MAX_COUNTER, _) | (0, false) => v,
-            (_, true) => v + 1,
-            (_, false) => v - 1,
-        };
-        *byte = (*byte & !(MAX_COUNTER << shift)) | (new << shift);
-    }
-
-    fn min_counter(generation: &[u8], positions: &[u32]) -> u8 {
-        positions.iter().map(|&p| Self::counter(generation, p)).min().unwrap_or(0)
-    }
-
     /// Whether either generation contains the key; false positives are possible.
     pub fn contains(&self, key: KeyHashes) -> bool {
         self.estimate_count(key) > 0
@@ -89,20 +107,20 @@
     /// Estimated count of the key: the larger of the two generations' estimates, at most 15.
     pub fn estimate_count(&self, key: KeyHashes) -> u8 {
         let positions = self.positions(key);
-        Self::min_counter(&self.current, &positions).max(Self::min_counter(&self.previous, &positions))
+        self.current.min_counter(&positions).max(self.previous.min_counter(&positions))
     }
 
     /// Increments the key's counters in the current generation, even if it contains the key already.
     pub fn increment(&mut self, key: KeyHashes) {
         for p in self.positions(key) {
-            Self::step_counter(&mut self.current, p, true);
+            self.current.step_counter(p, true, self.counters);
         }
     }
 
     /// Adds the key to the current generation unless it contains it already. Returns the changes made.
     pub fn add(&mut self, key: KeyHashes) -> Vec<CounterChange> {
         let positions = self.positions(key);
-        if Self::min_counter(&self.current, &positions) > 0 {
+        if self.current.min_counter(&positions) > 0 {
             return Vec::new();
         }
         positions.into_iter().map(|at| self.apply_change(CounterChange { at, up: true })).collect()
@@ -112,10 +130,10 @@
     /// generation.
     pub fn remove(&mut self, key: KeyHashes) -> Vec<CounterChange> {
         let positions = self.positions(key);
-        if Self::min_counter(&self.previous, &positions) > 0 {
-            positions.iter().for_each(|&p| Self::step_counter(&mut self.previous, p, false));
+        if self.previous.min_counter(&positions) > 0 {
+            positions.iter().for_each(|&p| self.previous.step_counter(p, false, self.counters));
         }
-        if Self::min_counter(&self.current, &positions) == 0 {
+        if self.current.min_counter(&positions) == 0 {
             return Vec::new();
         }
         positions.into_iter().map(|at| self.apply_change(CounterChange { at, up: false })).collect()
@@ -123,12 +141,12 @@
 
     /// Changes that would make an empty filter contain the same keys as this one.
     pub fn changes_from_empty(&self) -> Vec<CounterChange> {
-        let is_set = |at: &u32| Self::counter(&self.current, *at).max(Self::counter(&self.previous, *at)) > 0;
+        let is_set = |at: &u32| self.current.counter(*at).max(self.previous.counter(*at)) > 0;
         (0..self.counters() as u32).filter(is_set).map(|at| CounterChange { at, up: true }).collect()
     }
 
     fn apply_change(&mut self, change: CounterChange) -> CounterChange {
-        Self::step_counter(&mut self.current, change.at, change.up);
+        self.current.step_counter(change.at, change.up, self.counters);
         change
     }
 
@@ -142,14 +160,12 @@
 
     /// Starts a new generation and drops the older one.
     pub fn rotate(&mut self) {
-        std::mem::swap(&mut self.current, &mut self.previous);
-        self.current.fill(0);
+        self.previous = std::mem::take(&mut self.current);
     }
 
     /// Clears all counters in both generations.
     pub fn clear(&mut self) {
-        self.current.fill(0);
-        self.previous.fill(0);
+        (self.current, self.previous) = (Generation::default(), Generation::default());
     }
 }
 
