Front: registering a call is a function of its own, and cheaper checks of unread answers

While unread answers were over their limit, the system was asked for each connection's delivery, also for those without an unwritten answer.

Change: `register_call` checks, reserves and registers under one lock. Connections with nothing unwritten are passed over before the system is asked. `Buffer::set_expected_len` no longer shares a name with `Option::expect`; a comment on acknowledgements says 'not required'. No behaviour changes.

--- a/crates/front/src/buffer.rs
+++ b/crates/front/src/buffer.rs
@@ -99,7 +99,7 @@
     /// Sets how long the data is to become, as far as the incomplete message in it shows. The next read asks
     /// for what is missing, so that a long message takes few reads, and a connection that sends little more
     /// than a message leaves little behind it.
-    pub fn expect(&mut self, len: usize) {
+    pub fn set_expected_len(&mut self, len: usize) {
         self.expected_len = len;
     }
 
--- a/crates/front/src/clients/connection.rs
+++ b/crates/front/src/clients/connection.rs
@@ -1,7 +1,7 @@
 //! One client's connection: its open calls, the messages read from it and the answers written to it.
 
-use super::call;
-use super::client_memory::ClientMemory;
+use super::call::{self, CallFields};
+use super::client_memory::{CallReservation, ClientMemory};
 use super::forward::{self, Answer};
 use super::msgpack_rpc::{self as rpc, Fields, Message};
 use crate::buffer::Buffer;
@@ -256,7 +256,6 @@
             self.send(rpc::encode_error(number, "Fault", &[("route", "none")]));
             return Ok(());
         };
-        let memory = front.server.memory.clone();
         // While the front is ending or being evacuated, new calls are rejected at once: a busy connection
         // has to become idle and close before the process is killed, and a call accepted now would be lost
         // with the process.
@@ -270,25 +269,13 @@
         }
         let request = Request { budget_ms: request.budget_ms.min(front.server.remaining_ms()), ..request };
         let caller = Arc::new(Caller::default());
-        let reservation;
-        {
-            let mut open = lock(&self.open);
-            if open.calls.contains_key(&number) {
-                return Err(Reason::Malformed);
-            }
-            reservation = if open.calls.len() < MAX_OPEN_CALLS { memory.reserve_call(&fields) } else { None };
-            if reservation.is_none() {
-                drop(open);
-                front.metrics.count_outcome(class, Outcome::Deferred);
-                let pause = (front.queues.retry_after_ms() as u64).to_string();
-                self.send(rpc::encode_error(number, "Shed", &[("pause", &pause)]));
-                return Ok(());
-            }
-            open.calls
-                .insert(number, OpenCall { id: request.id, queue: queue.clone(), caller: caller.clone() });
-            open.idle_since = None;
-            open.accepted += 1;
-        }
+        let open_call = OpenCall { id: request.id, queue: queue.clone(), caller: caller.clone() };
+        let Some(reservation) = self.register_call(&front.server.memory, number, open_call, &fields)? else {
+            front.metrics.count_outcome(class, Outcome::Deferred);
+            let pause = (front.queues.retry_after_ms() as u64).to_string();
+            self.send(rpc::encode_error(number, "Shed", &[("pause", &pause)]));
+            return Ok(());
+        };
         front.metrics.request_accepted();
         let (client, front, fields) = (self.clone(), front.clone(), Arc::new(fields));
         spawn(move || {
@@ -304,6 +291,34 @@
         Ok(())
     }
 
+    /// Registers a call as open and reserves its memory; returns `None` if the connection has too many open
+    /// calls, or all connections together use too much memory for theirs.
+    ///
+    /// # Errors
+    /// A call with this number is open.
+    fn register_call(
+        &self,
+        memory: &ClientMemory,
+        number: u32,
+        call: OpenCall,
+        fields: &CallFields,
+    ) -> Result<Option<CallReservation>, Reason> {
+        let mut open = lock(&self.open);
+        if open.calls.contains_key(&number) {
+            return Err(Reason::Malformed);
+        }
+        if open.calls.len() >= MAX_OPEN_CALLS {
+            return Ok(None);
+        }
+        let reservation = memory.reserve_call(fields);
+        if reservation.is_some() {
+            open.calls.insert(number, call);
+            open.idle_since = None;
+            open.accepted += 1;
+        }
+        Ok(reservation)
+    }
+
     /// Cancels a call that the client no longer waits for.
     fn cancel_call(&self, front: &SharedState, call: u32) {
         let cancelled = {
@@ -350,7 +365,7 @@
             }
         }
         buffer.store();
-        buffer.expect(rpc::expected_len(buffer.data()));
+        buffer.set_expected_len(rpc::expected_len(buffer.data()));
         let (mut open, now) = (lock(&self.open), Instant::now());
         open.input_memory = buffer.memory();
         if received {
--- a/crates/front/src/clients/eviction.rs
+++ b/crates/front/src/clients/eviction.rs
@@ -55,11 +55,12 @@
     /// Priority of closing this connection when unread answers use too much memory: the time for which the
     /// client has read nothing. `None` if all its answers are written.
     fn unread_answer_usage(&self, now: Instant) -> Option<MemoryUsage> {
-        let memory = self.link.unwritten_memory();
-        let stalled = self.link.stalled_for(now)?;
-        let priority =
-            ClosePriority { waits_for_nothing: true, never_served: true, weight: stalled.as_micros() };
-        (self.link.unwritten_bytes() > 0).then_some(MemoryUsage { priority, memory })
+        if self.link.is_drained() {
+            return None;
+        }
+        let weight = self.link.stalled_for(now)?.as_micros();
+        let priority = ClosePriority { waits_for_nothing: true, never_served: true, weight };
+        Some(MemoryUsage { priority, memory: self.link.unwritten_memory() })
     }
 
     /// How long the connection has been idle: since its last call ended and the client has had the time to
--- a/crates/front/src/link/delivery.rs
+++ b/crates/front/src/link/delivery.rs
@@ -2,8 +2,8 @@
 //!
 //! A successful write only hands bytes to the system, which holds some megabytes for a slow reader and sends
 //! them as the other side's receive buffer has space for them. What was sent reaches that buffer, at the latest
-//! after retransmissions. An acknowledgement is no condition: the other side's system may delay it until it
-//! sends something itself.
+//! after retransmissions. An acknowledgement is not required: the other side's system may delay it until
+//! it sends something itself.
 
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
