Test: limits on the memory of incomplete messages and answers, and whom they close

Cause: the program's tests would not notice if the limits on cache nodes' answers, or the order in which connections are closed, were taken out.

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -6,7 +6,7 @@
 use common::scripted::{encode_call, encode_cancel, read_answer, set_node_address, ScriptedFront};
 use common::Node;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
@@ -234,6 +234,51 @@
     watch.finish("bus-line");
 }
 
+/// Starts a cache node that begins an answer of several parts on each connection and does not complete it;
+/// returns its address.
+fn start_node_with_endless_answers() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port can be bound");
+    let addr = listener.local_addr().expect("the socket is bound");
+    let part = [&b"$300000\r\n"[..], &vec![b'y'; 300_000], b"\r\n"].concat();
+    let answer = [&b"*8\r\n"[..], &part.repeat(7), &part[..200_000]].concat();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let answer = answer.clone();
+            std::thread::spawn(move || {
+                let mut request = [0; 4096];
+                let _ = stream.read(&mut request).and_then(|_| stream.write_all(&answer));
+                while matches!(stream.read(&mut request), Ok(n) if n > 0) {}
+            });
+        }
+    });
+    addr
+}
+
+/// Cache nodes begin answers that are longer than any object, on every connection that the front opens: what
+/// is received of them is limited for all connections together.
+#[test]
+fn answers_of_cache_nodes_that_never_end_stay_within_the_memory() {
+    let _alone = run_alone();
+    let nodes = [start_node_with_endless_answers(), start_node_with_endless_answers()];
+    let front = ScriptedFront::start_with("endless-answers", |c| {
+        nodes.iter().enumerate().for_each(|(i, addr)| set_node_address(c, i, *addr));
+        c["limits"]["memory_mb"] = MEMORY_MB.into();
+        c["limits"]["sockets"] = SOCKETS.into();
+    });
+    let watch = Watch::start(&front, Expected::Answered);
+    let mut clients: Vec<TcpStream> = (0..8).map(|_| connect_reader(&front)).collect();
+    for round in 0..4 {
+        for (n, client) in (0..).zip(&mut clients) {
+            let trace = |call: u32| 3 << 40 | round << 32 | (n * 64 + u64::from(call));
+            let calls =
+                (0..16).map(|c| encode_call(round as u32 * 16 + c, READ_CLASS, trace(c), PATIENCE_MS, &[]));
+            let _ = client.write_all(&calls.flatten().collect::<Vec<u8>>());
+        }
+        std::thread::sleep(PIECE_INTERVAL);
+    }
+    watch.finish("endless-answers");
+}
+
 /// The event bus lists the largest fleet in one location: a node that gets no request occupies little, since a
 /// router of a large location sends to few of its nodes. No client calls meanwhile, because the time that a
 /// decision takes grows with the nodes.
--- a/crates/front/src/upstream/connection/tests.rs
+++ b/crates/front/src/upstream/connection/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::memory::MemoryAccount;
 use crate::upstream::test_support::{first_attempt, AlwaysAllowed};
 use may::net::TcpStream;
 
@@ -86,3 +87,38 @@
     );
     assert_eq!((ended, admits_more), (Some(Ending::ConnectionLost), false));
 }
+
+/// Incomplete answers of all connections together are limited: a connection over its part of the limit is
+/// closed while the limit is exceeded, and the others go on.
+#[test]
+fn a_connection_with_a_long_incomplete_answer_is_closed_over_the_limit() {
+    let input = Arc::new(MemoryAccount::with_limit(300_000));
+    let memory = UpstreamMemory { input: input.clone(), output: Arc::default(), connection_input: 150_000 };
+    let settings = InputSettings { account: input.clone(), ..InputSettings::default() };
+    let receive = |connection: &Connection, buffer: &mut Buffer, bytes: usize| {
+        let mut source =
+            [&b"*4\r\n$1\r\n1\r\n$6\r\nserved\r\n$1\r\n-\r\n$240000\r\n"[..], &vec![b'x'; bytes]].concat();
+        source.drain(..buffer.data().len().min(source.len()));
+        let mut source = &source[..];
+        while !source.is_empty() {
+            buffer.read_from(&mut source).expect("reading from memory does not fail");
+            connection.read_answers(buffer, &mut Quantum::default())?;
+        }
+        Ok(())
+    };
+    let new_buffer = || Buffer::with_account(settings.account.clone(), settings.min_read_bytes);
+    let connections = [0, 1, 2].map(|_| Connection::with_memory(&memory));
+    let mut buffers = [0, 1, 2].map(|_| new_buffer());
+    assert_eq!(receive(&connections[0], &mut buffers[0], 130_000), Ok(()));
+    assert_eq!(receive(&connections[1], &mut buffers[1], 140_000), Ok(()));
+    assert_eq!(
+        receive(&connections[2], &mut buffers[2], 100_000),
+        Ok(()),
+        "the limit is exceeded, the part is not"
+    );
+    assert!(input.is_exceeded());
+    assert_eq!(receive(&connections[1], &mut buffers[1], 200_000), Err(Reason::MemoryLimit));
+    let [first, second, _] = buffers;
+    drop((first, second));
+    assert!(!input.is_exceeded(), "the end of a connection releases its memory");
+}
