Front: over the limit on incomplete messages, a client that goes on writing is not displaced

Seen by callers: 150 clients begin calls of 50 KB, are closed over the limit, and come again; four usual clients write 40 KB in 20 pieces on new connections.

Cause: the untouched program closed the largest incomplete message, once for each excess that it saw until the first connection had ended; closed the one that had occupied most for longest. Clients that come again are always new, so a slow writer is the oldest among them.

Change: after those that wait for an answer or were served before, a connection that has sent nothing for 250 ms is closed first, by memory and time; if there is none, the one that occupied its memory fastest.

The unit test has the four cases.

--- a/crates/front/src/clients/connection.rs
+++ b/crates/front/src/clients/connection.rs
@@ -62,6 +62,8 @@
     pub(super) partial_since: Option<Instant>,
     /// Received bytes of the incomplete message.
     pub(super) partial: usize,
+    /// When bytes were last received.
+    pub(super) last_input: Instant,
     /// Memory of the received bytes that are not handled yet.
     pub(super) input_memory: usize,
     /// Number of calls accepted so far.
@@ -115,6 +117,7 @@
             idle_since: Some(Instant::now()),
             partial_since: None,
             partial: 0,
+            last_input: Instant::now(),
             input_memory: 0,
             accepted: 0,
             closing: false,
@@ -367,7 +370,7 @@
         buffer.store();
         buffer.set_expected_len(rpc::expected_len(buffer.data()));
         let (mut open, now) = (lock(&self.open), Instant::now());
-        open.input_memory = buffer.memory();
+        (open.input_memory, open.last_input) = (buffer.memory(), now);
         if received {
             open.message_received = true;
             open.partial_since = None;
--- a/crates/front/src/clients/eviction.rs
+++ b/crates/front/src/clients/eviction.rs
@@ -20,6 +20,13 @@
 /// system has received. Clients are known to read 1 MB a second or less.
 const MIN_READING_SPEED: usize = 100_000;
 
+/// A client that sends nothing for this time within a message has paused. Longer than the retransmission of a
+/// lost packet takes.
+const MESSAGE_PAUSE: Duration = Duration::from_millis(250);
+/// Added to the age of a message when the speed is calculated at which its client occupied memory, so that the
+/// first bytes of a message do not count as the fastest.
+const MESSAGE_START: Duration = Duration::from_millis(50);
+
 /// Priority of closing a connection when a limit on memory is exceeded; the highest is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ClosePriority {
@@ -27,6 +34,8 @@
     waits_for_nothing: bool,
     /// Whether the client has never been served on this connection.
     never_served: bool,
+    /// Whether the client has paused within a message, or reads nothing.
+    has_paused: bool,
     weight: u128,
 }
 
@@ -39,16 +48,20 @@
 impl ClientConnection {
     /// Priority of closing this connection when received bytes that are not handled use too much memory.
     /// `None` if no message is incomplete: its connection's bytes are handled shortly. Connections whose
-    /// clients wait for an answer, or were served before, come last. Among the others the product of memory
-    /// and time counts, since usual clients complete their messages soon.
+    /// clients wait for an answer, or were served before, come last. Among the others those that have paused
+    /// come first, by memory and time; then the one that occupied its memory fastest, so that clients who come
+    /// in great numbers do not displace one that writes slowly.
     fn partial_message_usage(&self, now: Instant) -> Option<MemoryUsage> {
         let open = lock(&self.open);
-        let incomplete_for = now.saturating_duration_since(open.partial_since?);
-        let priority = ClosePriority {
-            waits_for_nothing: open.calls.is_empty(),
-            never_served: !open.served,
-            weight: (incomplete_for.as_millis() + 1) * open.input_memory as u128,
+        let begun = now.saturating_duration_since(open.partial_since?);
+        let without_input = now.saturating_duration_since(open.last_input);
+        let has_paused = without_input >= MESSAGE_PAUSE;
+        let weight = match has_paused {
+            true => without_input.as_micros() * open.input_memory as u128,
+            false => open.input_memory as u128 * 1_000_000 / (begun + MESSAGE_START).as_micros(),
         };
+        let (waits_for_nothing, never_served) = (open.calls.is_empty(), !open.served);
+        let priority = ClosePriority { waits_for_nothing, never_served, has_paused, weight };
         Some(MemoryUsage { priority, memory: open.input_memory })
     }
 
@@ -59,7 +72,8 @@
             return None;
         }
         let weight = self.link.stalled_for(now)?.as_micros();
-        let priority = ClosePriority { waits_for_nothing: true, never_served: true, weight };
+        let priority =
+            ClosePriority { waits_for_nothing: true, never_served: true, has_paused: true, weight };
         Some(MemoryUsage { priority, memory: self.link.unwritten_memory() })
     }
 
--- a/crates/front/src/clients/server/tests.rs
+++ b/crates/front/src/clients/server/tests.rs
@@ -102,40 +102,41 @@
     }
 }
 
-/// When incomplete messages exceed their limit, a client is closed that was never served and occupies much for
-/// long. A usual client that sends a long message at that moment occupies as much, but
-/// only for a moment; and one excess must not close several connections while the first is being closed.
+/// When incomplete messages exceed their limit, a client is closed that was never served and has paused, else
+/// the one that occupied its memory fastest: a usual client that writes a long message slowly must not be displaced by others
+/// who come in great numbers. One excess must not close several connections while the first is being closed.
 #[test]
-fn incomplete_messages_over_their_limit_close_the_connection_that_occupies_most_for_longest() {
+fn incomplete_messages_over_their_limit_close_paused_connections_and_then_fast_ones() {
     let budget = Budget::from_limits(1024, 20);
     let server = Server::new(budget, Vec::new());
     let now = Instant::now();
-    let add = |number: u64, part: usize, age_ms: u64, change: fn(&mut ConnectionState)| {
-        let client = Arc::new(ClientConnection::new(&server.memory));
-        {
-            let mut open = lock(&client.open);
-            open.input_memory = budget.partial * part / 100;
-            open.partial = open.input_memory;
-            open.partial_since = now.checked_sub(Duration::from_millis(age_ms));
-            change(&mut open);
-        }
-        lock(&server.clients).insert(number, client.clone());
-        client
-    };
-    let old_client = add(1, 60, 900, |open| open.served = true);
-    let long_begun = add(2, 20, 800, |_| {});
-    let just_begun = add(3, 30, 1, |_| {});
+    let ms_ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
+    // Part of the limit in percent, when the message began, when bytes last arrived, whether it was served.
+    let clients = [(50, 1900, 900, true), (20, 1500, 800, false), (15, 900, 1, false), (25, 40, 30, false)]
+        .map(|(percent, begun_ms, input_ms, served)| {
+            let client = Arc::new(ClientConnection::new(&server.memory));
+            {
+                let mut open = lock(&client.open);
+                open.input_memory = budget.partial * percent / 100;
+                (open.partial, open.served) = (open.input_memory, served);
+                (open.partial_since, open.last_input) = (Some(ms_ago(begun_ms)), ms_ago(input_ms));
+            }
+            let number = server.next_number.fetch_add(1, Ordering::Relaxed);
+            lock(&server.clients).insert(number, client.clone());
+            client
+        });
+    let [_, _, writing, _] = &clients;
+    let closing = || clients.each_ref().map(|c| c.link.is_closing());
     let mut reservation = crate::memory::Reservation::new(server.memory.input.clone());
     reservation.resize(budget.partial);
     server.limit_partial_messages();
-    let closing = || [&old_client, &long_begun, &just_begun].map(|c| c.link.is_closing());
-    assert_eq!(closing(), [false; 3], "the limit is not exceeded");
+    assert_eq!(closing(), [false; 4], "the limit is not exceeded");
     reservation.resize(budget.partial * 110 / 100);
     server.limit_partial_messages();
-    assert_eq!(closing(), [false, true, false]);
+    assert_eq!(closing(), [false, true, false, false], "the one that has paused");
     server.limit_partial_messages();
-    assert_eq!(closing(), [false, true, false], "the memory of a closing connection is released shortly");
-    lock(&just_begun.open).input_memory += budget.partial / 5;
+    assert_eq!(closing(), [false, true, false, false], "what a closing connection holds is released shortly");
+    lock(&writing.open).input_memory += budget.partial / 5;
     server.limit_partial_messages();
-    assert_eq!(closing(), [false, true, true]);
+    assert_eq!(closing(), [false, true, false, true], "the fastest, although it holds less");
 }
