Front: only the client that sent a request can cancel it

Cause: OpenCall::cancel named the request to Dispatcher::client_disconnected and to ConnectionPool::withdraw_attempt by its id, which clients choose. A call is registered on its connection before pick rejects an id that is open, so a call that ends before its coroutine runs cancelled the other client's request.

Change: each call has a CallerId chosen by the front; pick records it as owner, client_disconnected changes nothing for another caller and says so, and only then is an attempt withdrawn. A debug log line says whether a cancel was the owner's.

--- a/crates/fernslip/src/api.rs
+++ b/crates/fernslip/src/api.rs
@@ -27,7 +27,8 @@
     }
 }
 
-/// Identifies one request of a client. An id is never reused, and a retry by the client gets a new one.
+/// Identifies one request of a client. Clients choose the ids and are expected to use a new one for each
+/// request, also for a retry. A faulty client may send the id of another client's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
--- a/crates/fernslip/src/facade.rs
+++ b/crates/fernslip/src/facade.rs
@@ -52,7 +52,7 @@
 //!     group: 0,
 //! };
 //! let mut now = 5.0;
-//! let mut decision = dispatcher.pick(now, request);
+//! let mut decision = dispatcher.pick(now, request, CallerId(1));
 //! while let Decision::Forward(a) = decision {
 //!     // Here a front sends the request to `a.cache`, which fills a miss from `a.source`. The attempt times
 //!     // out at `a.until_ms`.
@@ -81,7 +81,7 @@
 mod host;
 mod state;
 
-pub use answers::{Attempt, AttemptResult, Decision, EndpointCounts};
+pub use answers::{Attempt, AttemptResult, CallerId, Decision, EndpointCounts};
 pub use host::{Host, Waiter};
 
 use crate::api::*;
@@ -115,8 +115,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Accepts a request, waits until the router has decided on it, and returns the decision.
-    pub fn pick(&self, now_ms: f64, request: Request) -> Decision {
+    /// Accepts a request of this caller, waits until the router has decided on it, and returns the decision.
+    /// Until the request is finished, the caller is its owner: no other caller can cancel the request or take
+    /// its id.
+    pub fn pick(&self, now_ms: f64, request: Request, caller: CallerId) -> Decision {
         let id = request.id;
         let calls = {
             let mut state = self.lock();
@@ -125,7 +127,7 @@
             if state.open.contains_key(&id) {
                 return Decision::Reject { retry_after_ms: 0.0 };
             }
-            state.open.insert(id, OpenRequest::new(&request));
+            state.open.insert(id, OpenRequest::new(&request, caller));
             state.handle(now_ms, Event::Request(request))
         };
         self.make_host_calls(calls);
@@ -193,11 +195,14 @@
         self.make_host_calls(calls);
     }
 
-    /// Reports that the client of a request disconnected, so that the request needs no answer.
-    pub fn client_disconnected(&self, now_ms: f64, id: RequestId) {
+    /// Reports that a caller disconnected or cancelled its request, so that the request needs no answer.
+    /// Returns whether the caller owned an open request with this id. If not, nothing changes: the request
+    /// belongs to another caller that sent the same id, and that caller still waits.
+    pub fn client_disconnected(&self, now_ms: f64, id: RequestId, caller: CallerId) -> bool {
         let (waiter, calls) = {
             let mut state = self.lock();
-            let Some(open) = state.open.get_mut(&id).filter(|open| !open.over) else { return };
+            let owned = state.open.get_mut(&id).filter(|open| open.caller == caller && !open.over);
+            let Some(open) = owned else { return false };
             open.over = true;
             open.decided = Some(Decision::Finished);
             let waiter = open.waiter.take();
@@ -207,6 +212,7 @@
         if let Some(waiter) = waiter {
             waiter.wake();
         }
+        true
     }
 
     /// Whether an attempt is still to be made: its request is open, and its object was not purged since the
--- a/crates/fernslip/src/facade/answers.rs
+++ b/crates/fernslip/src/facade/answers.rs
@@ -4,6 +4,11 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 
+/// Identifies the caller of a request. The front chooses a different number for each call of a client: the
+/// id of a request comes from the client, so two callers may send the same one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct CallerId(pub u64);
+
 /// An attempt that the front is to make.
 #[derive(Clone, Debug)]
 pub struct Attempt {
--- a/crates/fernslip/src/facade/state.rs
+++ b/crates/fernslip/src/facade/state.rs
@@ -1,6 +1,6 @@
 //! State of the dispatcher: the router, open requests and their decisions, timers and manual exclusions.
 
-use super::{Attempt, Decision, Waiter};
+use super::{Attempt, CallerId, Decision, Waiter};
 use crate::api::*;
 use crate::manual_exclusion::ManualExclusions;
 use crate::policy::Router;
@@ -11,6 +11,8 @@
 
 /// A request that was passed to the dispatcher and has no final answer yet.
 pub(super) struct OpenRequest {
+    /// Owner of the request.
+    pub(super) caller: CallerId,
     pub(super) object: ObjectId,
     /// Purge group that the object belongs to.
     pub(super) group: u64,
@@ -29,9 +31,10 @@
 }
 
 impl OpenRequest {
-    pub(super) fn new(request: &Request) -> OpenRequest {
+    pub(super) fn new(request: &Request, caller: CallerId) -> OpenRequest {
         let (object, group) = (request.object, request.group);
         OpenRequest {
+            caller,
             object,
             group,
             attempts: 0,
--- a/crates/fernslip/tests/facade.rs
+++ b/crates/fernslip/tests/facade.rs
@@ -45,6 +45,10 @@
     fn log(&self, _: &str) {}
 }
 
+/// The caller of the tests' requests, and another caller that sends an id of theirs.
+const OWNER: CallerId = CallerId(1);
+const OTHER: CallerId = CallerId(2);
+
 /// A dispatcher that has its endpoint list.
 fn new_dispatcher() -> Dispatcher<RecordingHost> {
     let d = Dispatcher::new(settings(), 7, RecordingHost::default()).expect("the test settings are valid");
@@ -81,7 +85,7 @@
 #[test]
 fn a_failed_request_is_retried_and_then_finished() {
     let d = new_dispatcher();
-    let first = expect_attempt(d.pick(1000.0, new_request(1)));
+    let first = expect_attempt(d.pick(1000.0, new_request(1), OWNER));
     assert!(first.source.is_some() && first.number == 0);
     let second = expect_attempt(d.report(1050.0, result_of(&first, Ending::Errored)));
     assert_eq!(second.number, 1);
@@ -96,7 +100,7 @@
 #[test]
 fn a_rejected_request_is_answered_at_once_with_a_retry_hint() {
     let d = new_dispatcher();
-    let a = expect_attempt(d.pick(1000.0, new_request(1)));
+    let a = expect_attempt(d.pick(1000.0, new_request(1), OWNER));
     match d.report(5999.0, result_of(&a, Ending::Errored)) {
         Decision::Reject { retry_after_ms } => assert!(retry_after_ms > 0.0),
         other => panic!("expected a rejection, got {other:?}"),
@@ -107,16 +111,16 @@
 #[test]
 fn a_duplicate_id_is_rejected_and_the_first_request_keeps_its_answer() {
     let d = new_dispatcher();
-    let a = expect_attempt(d.pick(1000.0, new_request(1)));
-    assert!(matches!(d.pick(1001.0, new_request(1)), Decision::Reject { .. }));
+    let a = expect_attempt(d.pick(1000.0, new_request(1), OWNER));
+    assert!(matches!(d.pick(1001.0, new_request(1), OTHER), Decision::Reject { .. }));
     assert!(matches!(d.report(1050.0, result_of(&a, Ending::Completed)), Decision::Finished));
 }
 
 #[test]
 fn a_disconnected_clients_attempt_is_cancelled() {
     let d = new_dispatcher();
-    let a = expect_attempt(d.pick(1000.0, new_request(1)));
-    d.client_disconnected(1010.0, a.id);
+    let a = expect_attempt(d.pick(1000.0, new_request(1), OWNER));
+    assert!(d.client_disconnected(1010.0, a.id, OWNER));
     assert!(
         a.cancelled.load(Ordering::Acquire),
         "the attempt is marked as cancelled even if the front has not begun it"
@@ -126,10 +130,29 @@
     assert_eq!(d.open_requests(), 0);
 }
 
+/// Another client sends the id of an open request and disconnects, before its own call is decided on or after
+/// that was rejected: the open request must not be cancelled, whichever attempt it is at.
+#[test]
+fn only_the_owner_of_a_request_can_cancel_it() {
+    let d = new_dispatcher();
+    let first = expect_attempt(d.pick(1000.0, new_request(1), OWNER));
+    assert!(!d.client_disconnected(1001.0, first.id, OTHER));
+    assert!(matches!(d.pick(1002.0, new_request(1), OTHER), Decision::Reject { .. }));
+    assert!(!d.client_disconnected(1003.0, first.id, OTHER));
+    assert!(d.is_wanted(&first) && !first.cancelled.load(Ordering::Acquire));
+    let second = expect_attempt(d.report(1050.0, result_of(&first, Ending::Errored)));
+    assert!(!d.client_disconnected(1051.0, second.id, OTHER) && d.is_wanted(&second));
+    assert!(d.host().0.lock().unwrap().is_empty(), "nothing is cancelled");
+    assert!(matches!(d.report(1100.0, result_of(&second, Ending::Completed)), Decision::Finished));
+    // A caller that has left owns nothing of the next request with its id.
+    let next = expect_attempt(d.pick(1200.0, new_request(1), OTHER));
+    assert!(!d.client_disconnected(1201.0, next.id, OWNER) && d.is_wanted(&next));
+}
+
 #[test]
 fn timers_cancel_attempts_at_a_silent_cache() {
     let d = new_dispatcher();
-    let a = expect_attempt(d.pick(1000.0, new_request(1)));
+    let a = expect_attempt(d.pick(1000.0, new_request(1), OWNER));
     let mut now = 1000.0;
     while !a.cancelled.load(Ordering::Acquire) {
         now = d.tick(now).expect("a timer to find silent nodes is set");
@@ -157,7 +180,7 @@
 fn an_attempt_outdated_by_a_purge_or_drain_is_not_begun() {
     let may_begin = |d: &Dispatcher<RecordingHost>, a: &Attempt| d.is_in_service(a) && d.is_wanted(a);
     let d = new_dispatcher();
-    let first = expect_attempt(d.pick(1000.0, new_request(1)));
+    let first = expect_attempt(d.pick(1000.0, new_request(1), OWNER));
     assert!(may_begin(&d, &first));
     d.purged(1001.0, Some(ObjectId(10)), 0, 1.0);
     assert!(may_begin(&d, &first), "a purge of another object does not affect the attempt");
@@ -175,7 +198,7 @@
     assert!(d.exclude(1005.0, &third.cache));
     assert!(!may_begin(&d, &third), "the node is excluded manually");
     assert!(d.include(1006.0, &third.cache) && may_begin(&d, &third));
-    d.client_disconnected(1007.0, RequestId(1));
+    assert!(d.client_disconnected(1007.0, RequestId(1), OWNER));
     assert!(!may_begin(&d, &third), "the client has disconnected");
 }
 
@@ -185,7 +208,7 @@
 fn a_node_included_while_the_list_drains_it_is_not_used() {
     for round in 0..300 {
         let d = new_dispatcher();
-        let node = expect_attempt(d.pick(1000.0, new_request(1))).cache;
+        let node = expect_attempt(d.pick(1000.0, new_request(1), OWNER)).cache;
         assert!(d.exclude(1001.0, &node));
         let mut drains = endpoints();
         drains.retain(|e| e.cache == node);
@@ -195,7 +218,7 @@
             threads.spawn(|| d.update_endpoints(1002.0, ListKind::Delta, drains));
         });
         for n in 2..6 {
-            let next = expect_attempt(d.pick(1003.0, new_request(n)));
+            let next = expect_attempt(d.pick(1003.0, new_request(n), OWNER));
             assert_ne!(next.cache, node, "round {round}: a draining node gets no request");
         }
     }
--- a/crates/front/src/clients/connection.rs
+++ b/crates/front/src/clients/connection.rs
@@ -439,11 +439,16 @@
 
 impl OpenCall {
     /// Cancels the call because its client no longer waits: no further attempt begins, wherever the call is
-    /// queued.
+    /// queued. The id alone does not say whose request it is: another client may have an open request with
+    /// the same id, which goes on.
     pub(super) fn cancel(self, front: &SharedState) {
         self.caller.disconnect();
-        self.queue.dispatcher.client_disconnected(front.clock.now(), self.id);
-        front.upstream.withdraw_attempt(self.id);
+        let owned = self.queue.dispatcher.client_disconnected(front.clock.now(), self.id, self.caller.id());
+        let trace = self.id.0;
+        tracing::debug!(trace = %format_args!("{trace:016x}"), owned, "cancelled by its client");
+        if owned {
+            front.upstream.withdraw_attempt(self.id);
+        }
     }
 }
 
--- a/crates/front/src/clients/forward.rs
+++ b/crates/front/src/clients/forward.rs
@@ -86,7 +86,7 @@
         last_ending: None,
         reply: None,
     };
-    let first = queue.dispatcher.pick(clock.now(), request);
+    let first = queue.dispatcher.pick(clock.now(), request, caller.id());
     forwarding.run(first)
 }
 
