Front: a read reserves the memory of its answer before it is sent

Cause: calls went to cache nodes whatever their answers would occupy. Over the limit of unread answers the connection without progress for longest was closed, be it 20 ms, and its open calls were lost.

Evidence: first close 1.1 s after the first call, so not the 5 s of a reader that reads nothing; unread answers at their limit (13.3 MB); process at 25 MB.

Change: AnswerMemory admits a read only if the estimate of its answer fits; a connection may hold as much as is free beside it, who holds least comes first. Without memory a read waits for half of its time and is rejected then. An answer longer than its estimate is rejected by itself if memory is short. While a client that holds nothing waits, connections that have more unread answers than calls may be open, or that read nothing for 2 s, are closed. A request that waited keeps only the time that its client has left, at its node too.

--- a/crates/cli/tests/slow_readers.rs
+++ b/crates/cli/tests/slow_readers.rs
@@ -67,9 +67,14 @@
     }
 
     fn send_calls(&mut self, numbers: std::ops::RangeInclusive<u32>) {
+        self.send_calls_of_size(numbers, "40");
+    }
+
+    /// Sends calls that state this size, in KB.
+    fn send_calls_of_size(&mut self, numbers: std::ops::RangeInclusive<u32>, size: &str) {
         for n in numbers {
             let trace = u64::from(self.stream.local_addr().map_or(0, |a| a.port())) << 32 | u64::from(n);
-            let call = encode_call(n, READ_CLASS, trace, PATIENCE_MS, &[]);
+            let call = encode_call(n, READ_CLASS, trace, PATIENCE_MS, &[("size", size)]);
             if let Err(e) = self.stream.write_all(&call) {
                 self.end = Some(e.to_string());
             }
@@ -245,3 +250,53 @@
     }
     assert!(client.answers.len() >= 100, "{}", client.state());
 }
+
+/// Clients, each with as many open calls for the largest objects as it may have, and the
+/// time between two clients.
+const CLIENTS: u32 = 8;
+const OPEN_CALLS: u32 = 32;
+const CLIENT_INTERVAL: Duration = Duration::from_millis(192);
+/// Memory of the front, in megabytes, that is less than the answers to all calls together.
+const SMALL_MEMORY_MB: usize = 64;
+
+/// Many clients that read 1 MB a second request more than the front's memory can hold. Connections were closed
+/// with unanswered calls when the unread answers exceeded their limit, since calls were sent to cache nodes
+/// without regard to the memory of their answers. Now each call is answered and most are served: with the
+/// sizes that clients state, with sizes that say nothing, and if all send at once.
+#[test]
+fn slow_readers_get_an_answer_to_each_call_when_memory_is_short() {
+    for (name, size, interval) in [
+        ("memory-600", "600", CLIENT_INTERVAL),
+        ("memory-40", "40", CLIENT_INTERVAL),
+        ("memory-burst", "600", Duration::ZERO),
+    ] {
+        let front = start_front(name, |c| {
+            c["limits"]["memory_mb"] = SMALL_MEMORY_MB.into();
+            c["limits"]["sockets"] = 512.into();
+        });
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|n| {
+                let addr = front.addr.clone();
+                std::thread::spawn(move || {
+                    std::thread::sleep(interval * n);
+                    let pace = Pace { bytes_per_second: 1_000_000, receive_buffer: None };
+                    let mut client = SlowReader::connect(&addr, pace);
+                    client.send_calls_of_size(1..=OPEN_CALLS, size);
+                    client.read(Duration::from_secs(25), OPEN_CALLS as usize);
+                    (client.answers.len(), client.served(), client.state())
+                })
+            })
+            .collect();
+        let results: Vec<_> = clients.into_iter().map(|c| c.join().expect("no panic")).collect();
+        let served: usize = results.iter().map(|(_, served, _)| served).sum();
+        assert!(results.iter().all(|(answers, ..)| *answers == OPEN_CALLS as usize), "{name}: {results:#?}");
+        assert!(served * 2 > (CLIENTS * OPEN_CALLS) as usize, "{name}: {served} served, {results:#?}");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", front.child.id()));
+        let peak_kb = status.ok().and_then(|s| {
+            s.lines()
+                .find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB")?.parse::<usize>().ok())
+        });
+        assert!(peak_kb.is_some_and(|kb| kb <= SMALL_MEMORY_MB * 1024), "{name}: {peak_kb:?} KB at most");
+        println!("{name}: {served} served, {peak_kb:?} KB at most");
+    }
+}
--- a/crates/front/src/clients/budget.rs
+++ b/crates/front/src/clients/budget.rs
@@ -48,6 +48,9 @@
     pub calls: usize,
     /// Memory of answers that clients have not read yet, in bytes.
     pub unread: usize,
+    /// Part of `unread` up to which answers are requested from cache nodes, in bytes. The remainder is for
+    /// answers without a body, and for those that are longer than was expected.
+    pub answers: usize,
     /// Memory of the bodies of open write calls, in bytes.
     pub bodies: usize,
     /// Memory of clients' messages that are received only in part, in bytes.
@@ -77,6 +80,7 @@
             open: (calls * 3 / 4).min(MAX_OPEN_REQUESTS),
             calls: calls.min(MAX_OPEN_REQUESTS * 2),
             unread: 4 * part,
+            answers: 3 * part,
             bodies: 2 * part,
             partial: 2 * part,
             upstream_input: 3 * part,
--- a/crates/front/src/clients/budget/tests.rs
+++ b/crates/front/src/clients/budget/tests.rs
@@ -15,6 +15,7 @@
             + b.upstream_input
             + b.bus_input
             + IDLE_MEMORY;
+        assert!(b.answers < b.unread && b.answers <= b.upstream_input, "{b:?}");
         assert!(bytes <= memory_mb * BYTES_PER_MB, "{b:?}");
         assert!(b.clients + b.upstream <= sockets * 3 / 4, "{b:?}");
         // Up to four connections may be in transition from open to closing at once.
--- a/crates/front/src/clients/client_memory.rs
+++ b/crates/front/src/clients/client_memory.rs
@@ -1,5 +1,6 @@
 //! The memory that clients make the front hold, by purpose.
 
+use super::answer_memory::AnswerMemory;
 use super::call::CallFields;
 use crate::budget::{Budget, REQUEST_MEMORY};
 use crate::buffer::CLIENT_READ_BYTES;
@@ -15,8 +16,10 @@
 pub struct ClientMemory {
     /// Received bytes that are not handled yet.
     pub input: Arc<MemoryAccount>,
-    /// Answers that are not written yet.
+    /// Answers that are not written yet, and those that are requested.
     pub unread: Arc<MemoryAccount>,
+    /// Limits the answers that are requested.
+    pub answers: Arc<AnswerMemory>,
     /// Calls whose coroutines have not ended, without the bodies of writes.
     pub calls: Arc<MemoryAccount>,
     /// Bodies of the writes among these calls.
@@ -33,9 +36,11 @@
     /// Creates accounts with the limits of this budget.
     pub fn new(budget: &Budget) -> ClientMemory {
         let account = |limit| Arc::new(MemoryAccount::with_limit(limit));
+        let unread = account(budget.unread);
         ClientMemory {
             input: account(budget.partial),
-            unread: account(budget.unread),
+            answers: Arc::new(AnswerMemory::new(budget, unread.clone())),
+            unread,
             calls: account(budget.calls * REQUEST_MEMORY),
             bodies: account(budget.bodies),
         }
--- a/crates/front/src/clients/connection.rs
+++ b/crates/front/src/clients/connection.rs
@@ -1,8 +1,9 @@
 //! One client's connection: its open calls, the messages read from it and the answers written to it.
 
+use super::answer_memory::AnswerQueue;
 use super::call::{self, CallFields};
 use super::client_memory::{CallReservation, ClientMemory};
-use super::forward::{self, Answer};
+use super::forward::{self, Answer, Forwarded};
 use super::msgpack_rpc::{self as rpc, Fields, Message};
 use crate::buffer::Buffer;
 use crate::event_loop::Quantum;
@@ -20,13 +21,13 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Maximum number of open calls on one connection, as the protocol specifies. Further calls are rejected, so
 /// that no client occupies the whole front.
-const MAX_OPEN_CALLS: usize = 32;
+pub(super) const MAX_OPEN_CALLS: usize = 32;
 /// Maximum number of bytes of unread answers on one connection: as many as the longest answers to all calls
 /// that may be open.
 const MAX_UNREAD_BYTES: usize = MAX_OPEN_CALLS * 256 * 1024;
@@ -81,6 +82,18 @@
     pub(super) link: Link,
     pub(super) open: Mutex<ConnectionState>,
     recent_answers: Mutex<RecentAnswers>,
+    /// Memory that is reserved for answers that were requested, in bytes.
+    reserved_memory: AtomicUsize,
+}
+
+impl AnswerQueue for ClientConnection {
+    fn queued_memory(&self) -> usize {
+        self.link.unwritten_memory()
+    }
+
+    fn reserved_memory(&self) -> &AtomicUsize {
+        &self.reserved_memory
+    }
 }
 
 /// Sizes of the last answers on a connection. As a client has at most [`MAX_OPEN_CALLS`] calls open, it has
@@ -128,6 +141,7 @@
             link: Link::with_accounts(memory.input_settings(), memory.unread.clone()),
             open: Mutex::new(open),
             recent_answers: Mutex::default(),
+            reserved_memory: AtomicUsize::new(0),
         }
     }
 
@@ -147,14 +161,15 @@
         lock(&self.recent_answers).bytes
     }
 
-    /// Answers a call, unless the client has cancelled it.
+    /// Answers a call, unless the client has cancelled it. The memory that was reserved for the answer is
+    /// released once the answer is queued, which counts by itself.
     pub(super) fn answer(
         &self,
         front: &SharedState,
         call: u32,
         caller: &Arc<Caller>,
         class: Option<usize>,
-        answer: Answer,
+        Forwarded { answer, memory }: Forwarded,
     ) {
         let outcome = match answer {
             Answer::Served(_) => Some(Outcome::Answered),
@@ -189,6 +204,7 @@
             }
             open.calls.is_empty()
         };
+        drop(memory);
         front.metrics.request_ended(class, outcome);
         front.server.limit_unread_answers();
         // While the front is ending or being evacuated, a connection closes right after its last answer
@@ -285,9 +301,10 @@
             // A panic affects only its own request: the call is answered, and the resources that it took are
             // released.
             let served = catch_unwind(AssertUnwindSafe(|| {
-                forward::forward_request(&front, &queue, request, &fields, &caller)
+                let connection: Arc<dyn AnswerQueue> = client.clone();
+                forward::forward_request(&front, &queue, request, &fields, &caller, &connection)
             }));
-            let answer = served.unwrap_or(Answer::Failed);
+            let answer = served.unwrap_or(Forwarded { answer: Answer::Failed, memory: None });
             drop(reservation);
             client.answer(&front, number, &caller, class, answer);
         });
--- a/crates/front/src/clients/eviction.rs
+++ b/crates/front/src/clients/eviction.rs
@@ -1,7 +1,9 @@
 //! Chooses the client connections to close: those that have timed out, and one when a shared limit is
 //! reached.
 
-use super::connection::{ClientConnection, ConnectionState, MESSAGE_TIMEOUT, NEW_CONNECTION_GRACE};
+use super::connection::{
+    ClientConnection, ConnectionState, MAX_OPEN_CALLS, MESSAGE_TIMEOUT, NEW_CONNECTION_GRACE,
+};
 use super::server::Server;
 use crate::log::Reason;
 use crate::memory::MemoryAccount;
@@ -13,6 +15,9 @@
 /// Time after which a client is disconnected if answers wait for it, here or in the system, and it reads
 /// nothing of them.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after which a client that reads nothing is disconnected if another client, that holds nothing, waits
+/// for the memory of its answers.
+const SHORT_MEMORY_UNREAD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which an idle connection is closed. Clients close theirs after 4 s, but some keep them open
 /// indefinitely.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -171,6 +176,25 @@
         self.close_over_limit(&self.memory.unread, Reason::SlowReader, ClientConnection::unread_answer_usage);
     }
 
+    /// If a client that holds nothing waits for the memory of an answer, closes one connection that holds memory
+    /// for no good reason, if there is one: first one with more unread answers than a client may have calls
+    /// open, else the one whose client has read nothing for longest, provided that it has had the time to read.
+    pub(super) fn close_memory_holder(&self, now: Instant) {
+        if !self.memory.answers.has_starved_call() {
+            return;
+        }
+        let clients = lock(&self.clients);
+        let unwritten = || clients.values().filter(|c| !c.link.is_closing() && !c.link.is_drained());
+        let excessive = unwritten().filter(|c| c.link.unwritten_messages() > MAX_OPEN_CALLS);
+        let most_answers = excessive.max_by_key(|c| c.link.unwritten_messages());
+        let stalled = unwritten().filter_map(|c| c.link.stalled_for(now).map(|time| (time, c)));
+        let stalled = stalled.filter(|(time, _)| *time >= SHORT_MEMORY_UNREAD_TIMEOUT);
+        let longest_stalled = stalled.max_by_key(|(time, _)| *time).map(|(_, client)| client);
+        if let Some(client) = most_answers.or(longest_stalled) {
+            client.link.close(Reason::SlowReader);
+        }
+    }
+
     /// Ensures that a connection that was just accepted is within the limit, if necessary by evicting
     /// another; returns whether it is. Protects new clients against those that called once and stay
     /// connected.
--- a/crates/front/src/clients/forward.rs
+++ b/crates/front/src/clients/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards a request: waits for a permit of its pool, makes the attempts that the decision crate orders,
 //! and returns one final answer.
 
+use super::answer_memory::{AnswerMemory, AnswerQueue, AnswerReservation, NoAnswerMemory};
 use crate::call::CallFields;
 use crate::invariants::Invariant;
 use crate::reason_counts::EventKind;
@@ -15,8 +16,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Largest fraction of the client's timeout for which a request may wait for a permit of its pool.
+/// Largest fraction of the client's timeout for which a request may wait for a permit of its pool and for the
+/// memory of its answer.
 const MAX_WAIT_FRACTION: f64 = 0.5;
+/// Waits for memory that are shorter are not counted.
+const MIN_COUNTED_WAIT: Duration = Duration::from_millis(1);
 
 /// The final answer to a call.
 #[derive(Debug)]
@@ -31,6 +35,20 @@
     None,
 }
 
+/// A final answer, and the memory that was reserved for it.
+pub struct Forwarded {
+    /// The final answer.
+    pub answer: Answer,
+    /// To be dropped when the answer is queued. `None` if nothing was reserved.
+    pub memory: Option<AnswerReservation>,
+}
+
+impl From<Answer> for Forwarded {
+    fn from(answer: Answer) -> Forwarded {
+        Forwarded { answer, memory: None }
+    }
+}
+
 /// Name in metrics of the way in which an attempt ended.
 fn ending_metric_name(ending: Ending) -> &'static str {
     match ending {
@@ -48,46 +66,103 @@
 }
 
 /// Processes a request until its final answer, or until its client disconnects or cancels it. Yields while
-/// it waits for a permit and during each attempt.
+/// it waits for a permit and for memory, and during each attempt. `connection` is the one that the answer will
+/// be queued on.
 pub fn forward_request(
     front: &SharedState,
     queue: &Arc<DispatchQueue>,
     request: Request,
     call: &Arc<CallFields>,
     caller: &Arc<Caller>,
-) -> Answer {
+    connection: &Arc<dyn AnswerQueue>,
+) -> Forwarded {
     let SharedState { clock, queues, .. } = front;
     let retry_after_ms = queues.retry_after_ms();
-    let client_deadline = Instant::now() + Duration::from_secs_f64(request.budget_ms / 1000.0);
-    let Some(_reservation) = queues.reserve(request.id) else { return Answer::Rejected(retry_after_ms) };
+    let started = Instant::now();
+    let budget = Duration::from_secs_f64(request.budget_ms / 1000.0);
+    let Some(_reservation) = queues.reserve(request.id) else {
+        return Answer::Rejected(retry_after_ms).into();
+    };
     // The wait is limited to a part of the client's timeout, so that a request admitted late can still be
     // served in time.
     let wait_until_ms = clock.now() + request.budget_ms * MAX_WAIT_FRACTION;
     let Some(permit) = queue.acquire(clock, wait_until_ms, caller) else {
-        return Answer::Rejected(retry_after_ms);
+        return Answer::Rejected(retry_after_ms).into();
     };
+    let answers = &front.server.memory().answers;
+    let mut memory = None;
+    if !front.server.is_write(request.class) {
+        let wait_until = started + budget.mul_f64(MAX_WAIT_FRACTION);
+        match reserve_answer(front, answers, connection, request.size_kb, caller, wait_until) {
+            Ok(reservation) => memory = Some(reservation),
+            Err(NoAnswerMemory::Disconnected) => return Answer::None.into(),
+            Err(NoAnswerMemory::TimedOut) => return Answer::Rejected(retry_after_ms).into(),
+        }
+    }
     // Nothing yields between this check and `pick`, so the decision crate is notified of clients that
     // disconnect later.
     if caller.is_disconnected() {
-        return Answer::None;
+        return Answer::None.into();
     }
+    let remaining = budget.saturating_sub(started.elapsed());
+    let request = Request { budget_ms: remaining.as_secs_f64() * 1000.0, ..request };
+    let size_kb = request.size_kb;
+    let effect = queue.dispatcher.host().class_effect(request.class);
     let forwarding = Forwarding {
         front,
         queue,
         call,
         caller,
         permit,
-        client_deadline,
+        client_deadline: started + budget,
         retry_after_ms,
-        effect: queue.dispatcher.host().class_effect(request.class),
+        effect,
         class: request.class,
-        size_kb: request.size_kb,
+        size_kb,
         may_have_run: false,
         last_ending: None,
         reply: None,
     };
     let first = queue.dispatcher.pick(clock.now(), request, caller.id());
-    forwarding.run(first)
+    let mut answer = forwarding.run(first);
+    if let (Answer::Served(reply), Some(memory)) = (&answer, &mut memory) {
+        if !reply.current {
+            answers.sizes.record(size_kb, reply.body.len());
+        }
+        if !memory.fits(reply.body.len()) {
+            front.reason_counts.add(EventKind::AnswerMemory, "longer_than_expected");
+            answer = match effect {
+                Effect::Idempotent => Answer::Rejected(retry_after_ms),
+                Effect::Deduplicated | Effect::AtMostOnce => Answer::Failed,
+            };
+        }
+    }
+    Forwarded { answer, memory }
+}
+
+/// Reserves the memory of the answer to a read, and counts the reads that have to wait for it or are rejected.
+/// Yields.
+///
+/// # Errors
+/// No memory was reserved by `wait_until`, or the client disconnected.
+fn reserve_answer(
+    front: &SharedState,
+    answers: &Arc<AnswerMemory>,
+    connection: &Arc<dyn AnswerQueue>,
+    size_kb: f64,
+    caller: &Caller,
+    wait_until: Instant,
+) -> Result<AnswerReservation, NoAnswerMemory> {
+    let started = Instant::now();
+    let reserved = answers.acquire(connection, size_kb, caller, wait_until);
+    match &reserved {
+        Err(NoAnswerMemory::TimedOut) => front.reason_counts.add(EventKind::AnswerMemory, "rejected"),
+        Ok(_) if started.elapsed() >= MIN_COUNTED_WAIT => {
+            front.reason_counts.add(EventKind::AnswerMemory, "waited");
+        }
+        _ => {}
+    }
+    reserved
 }
 
 /// State of a request that holds a permit of its pool.
--- a/crates/front/src/clients/mod.rs
+++ b/crates/front/src/clients/mod.rs
@@ -1,6 +1,8 @@
 //! Client side of the front: accepting connections, decoding calls, forwarding requests and counting
 //! results.
 
+pub mod answer_memory;
+pub mod answer_sizes;
 pub mod budget;
 pub mod call;
 pub mod client_memory;
--- a/crates/front/src/clients/server.rs
+++ b/crates/front/src/clients/server.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Whether requests of this class are writes, whose answers have no body; false for an unknown class.
+    pub(super) fn is_write(&self, class: usize) -> bool {
+        self.classes.get(class).is_some_and(|c| c.write)
+    }
+
     /// The memory that clients make the front hold.
     pub fn memory(&self) -> &ClientMemory {
         &self.memory
@@ -196,6 +201,7 @@
     pub fn sweep(&self, front: &SharedState, ending: bool) {
         self.closing_idle.store(ending, Ordering::Release);
         let now = Instant::now();
+        self.close_memory_holder(now);
         let all: Vec<Arc<ClientConnection>> = lock(&self.clients).values().cloned().collect();
         for client in all {
             client.link.sweep(now);
--- a/crates/front/src/clients/server/tests.rs
+++ b/crates/front/src/clients/server/tests.rs
@@ -140,3 +140,41 @@
     server.limit_partial_messages();
     assert_eq!(closing(), [false, true, false, true], "the fastest, although it holds less");
 }
+
+/// While a client that holds nothing waits for the memory of an answer, a client that sends many calls and reads
+/// no answer is closed: as soon as it has more unread answers than it may have calls open, else after the time
+/// in which any client that reads has read something. A client within its calls is not closed before.
+#[test]
+fn clients_that_do_not_read_are_closed_while_another_waits_for_memory() {
+    let budget = Budget::from_limits(1024, 20);
+    let server = Arc::new(Server::new(budget, Vec::new()));
+    let add = |number: u64, answers: usize| {
+        let client = Arc::new(ClientConnection::new(&server.memory));
+        lock(&server.clients).insert(number, client.clone());
+        (0..answers).for_each(|_| assert!(client.send(vec![0; budget.answers / answers])));
+        client
+    };
+    let (slow, flooding) = (add(1, 32), add(2, 33));
+    let closing = || [&slow, &flooding].map(|c| c.link.is_closing());
+    let now = Instant::now();
+    server.close_memory_holder(now + Duration::from_secs(60));
+    assert_eq!(closing(), [false, false], "no client waits");
+    let memory = server.memory.answers.clone();
+    let waiting: Arc<dyn super::super::answer_memory::AnswerQueue> =
+        Arc::new(ClientConnection::new(&server.memory));
+    let thread = std::thread::spawn(move || {
+        let caller = crate::upstream::caller::Caller::default();
+        memory.acquire(&waiting, 100.0, &caller, Instant::now() + Duration::from_secs(20)).is_ok()
+    });
+    while !server.memory.answers.has_starved_call() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    server.close_memory_holder(now);
+    assert_eq!(closing(), [false, true], "more answers than calls may be open");
+    server.close_memory_holder(now);
+    assert_eq!(closing(), [false, true], "the other client may be reading");
+    server.close_memory_holder(now + Duration::from_secs(60));
+    assert_eq!(closing(), [true, true], "it has read nothing for a long time");
+    [&slow, &flooding].iter().for_each(|c| drop(c.link.terminate()));
+    assert!(thread.join().expect("the thread does not panic"), "their memory was granted");
+}
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -180,6 +180,11 @@
         lock(&self.queue).bytes()
     }
 
+    /// Number of messages that are queued and not yet written completely.
+    pub fn unwritten_messages(&self) -> usize {
+        lock(&self.queue).len()
+    }
+
     /// Memory of the messages that are queued and not yet written, in bytes.
     pub fn unwritten_memory(&self) -> usize {
         lock(&self.queue).memory()
--- a/crates/front/src/link/write_queue.rs
+++ b/crates/front/src/link/write_queue.rs
@@ -353,6 +353,11 @@
         self.broken || self.closing.is_some_and(|c| !c.graceful)
     }
 
+    /// Number of messages that are not completely written.
+    pub fn len(&self) -> usize {
+        self.messages.len()
+    }
+
     /// Number of unwritten bytes of all queued messages.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/crates/front/src/reason_counts.rs
+++ b/crates/front/src/reason_counts.rs
@@ -18,6 +18,8 @@
     Retried,
     /// An attempt that the decision crate ordered was not begun.
     Denied,
+    /// A read met the limit on the memory of answers.
+    AnswerMemory,
 }
 
 impl EventKind {
@@ -29,6 +31,7 @@
             EventKind::BusClosed => "bus_closed",
             EventKind::Retried => "retried",
             EventKind::Denied => "denied",
+            EventKind::AnswerMemory => "answer_memory",
         }
     }
 }
--- a/crates/front/src/upstream/caller.rs
+++ b/crates/front/src/upstream/caller.rs
@@ -14,7 +14,7 @@
     disconnected: AtomicBool,
     /// When the front noticed that the client had disconnected or cancelled; `None` before that.
     disconnected_at: Mutex<Option<Instant>>,
-    /// Where the request waits for a permit from its dispatch queue.
+    /// Where the request waits for a permit from its dispatch queue, or for the memory of its answer.
     queue_blocker: Mutex<Option<Arc<Blocker>>>,
 }
 
@@ -37,7 +37,7 @@
         self.id
     }
 
-    /// Records that the client disconnected or cancelled the request, and ends a wait for a permit at once.
+    /// Records that the client disconnected or cancelled the request, and ends its wait in a queue at once.
     pub fn disconnect(&self) {
         lock(&self.disconnected_at).get_or_insert_with(Instant::now);
         self.disconnected.store(true, Ordering::Release);
@@ -57,7 +57,7 @@
     }
 
     /// Sets the blocker that [`Caller::disconnect`] wakes.
-    pub(super) fn set_queue_blocker(&self, blocker: Arc<Blocker>) {
+    pub(crate) fn set_queue_blocker(&self, blocker: Arc<Blocker>) {
         *lock(&self.queue_blocker) = Some(blocker);
     }
 }
