Front: commands to both processes of a hand-over no longer undo each other

Cause: a command changed the set that its own process had applied and replaced the file with it; what the other process had stored since was lost, and the other process took the file for a command to include its node.

Evidence: the process that answered 200 logs that it applied a file with one node.

Change: ManualExclusions::update reads, changes and stores the set under flock of a file that both processes lock; what can't be locked or stored in 0.5 s is answered 400. The version that a process knows is that of the file it wrote.

Test changed: machine.rs counts the stored files; besides these exactly one lock file, which is empty, may be there.

--- a/crates/cli/tests/handover.rs
+++ b/crates/cli/tests/handover.rs
@@ -5,22 +5,39 @@
 mod common;
 
 use command_fds::{CommandFdExt, FdMapping};
-use common::{members_kdl, Answer, Front, Node};
+use common::{members_kdl, send_admin_command, Answer, Front, Node};
 use std::net::TcpListener;
 use std::os::fd::OwnedFd;
+use std::time::{Duration, Instant};
 
 const SITE: &str = "site \"hand\" members-from=\"file\"\nfront \"h0\" listen=\"127.0.0.1:0\" zone=\"here\"\n\
     zone \"here\"\nclass \"docs\" aim-ms=600 deadline-ms=3000\n";
 
+/// Time after an accepted command in which requests may still reach an excluded node: the grace of a drain,
+/// and what sockets add to it.
+const DRAIN_GRACE: Duration = Duration::from_millis(550);
+
 fn start_with_socket(name: &str, site: &str, listener: &TcpListener) -> Front {
+    start_with_socket_and_env(name, site, listener, &[])
+}
+
+fn start_with_socket_and_env(name: &str, site: &str, listener: &TcpListener, env: &[(&str, &str)]) -> Front {
     let fd = OwnedFd::from(listener.try_clone().expect("the socket can be duplicated"));
-    Front::start_prepared(name, site, &[], &[("RELAY_PASSED_SOCKET", "3")], |command| {
+    let env = [env, &[("RELAY_PASSED_SOCKET", "3")]].concat();
+    Front::start_prepared(name, site, &[], &env, |command| {
         command
             .fd_mappings(vec![FdMapping { parent_fd: fd, child_fd: 3 }])
             .expect("the socket can be mapped to descriptor 3");
     })
 }
 
+/// The address of a front's admin interface, from its log.
+fn admin_address(front: &Front) -> String {
+    let line = front.log_lines.iter().find(|l| l.contains("operators' door at "));
+    let line = line.expect("the front logs the address of its admin interface");
+    line.rsplit(' ').next().expect("the line ends with an address").trim_matches('"').to_string()
+}
+
 #[test]
 fn two_processes_serve_from_one_inherited_socket_and_the_old_one_shuts_down() {
     let (a, origin) = (Node::start(), Node::start());
@@ -108,3 +125,50 @@
     );
     assert_eq!(front.client().call("docs", 1), Answer::Served);
 }
+
+/// While one process replaces another, operators send commands to both at the same time. One of two accepted
+/// commands was undone: each process stored the set that it had applied and its own change.
+#[test]
+fn commands_to_both_processes_of_a_handover_all_take_effect() {
+    let [a, b, c, origin] = [Node::start(), Node::start(), Node::start(), Node::start()];
+    let site = format!("{SITE}{}", members_kdl(&[("a", &a), ("b", &b), ("c", &c)], &origin));
+    let folder = tempfile::tempdir().expect("a temporary folder can be created");
+    let env = [("TMPDIR", folder.path().to_str().expect("the path is UTF-8")), ("RELAY_OPS", "127.0.0.1:0")];
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port can be bound");
+    let old = start_with_socket_and_env("old-commands", &site, &listener, &env);
+    let new = start_with_socket_and_env("new-commands", &site, &listener, &env);
+    let admins = [&old, &new].map(admin_address);
+    let mut object = 0;
+    let mut call_for = |time: Duration| {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            object += 1;
+            assert_eq!(old.client().call("docs", object), Answer::Served);
+        }
+    };
+    // The commands of each round, to the old and the new process, and the nodes that are excluded afterwards.
+    let rounds: [([&str; 2], &[&Node]); 5] = [
+        (["exclude a", "exclude b"], &[&a, &b]),
+        (["include a", "include b"], &[]),
+        (["exclude b", "exclude a"], &[&a, &b]),
+        (["exclude c", "include a"], &[&b, &c]),
+        (["include c", "exclude b"], &[&b]),
+    ];
+    for (commands, excluded) in rounds {
+        let threads = [0, 1].map(|n| {
+            let (admin, command) = (admins[n].clone(), commands[n].to_string());
+            std::thread::spawn(move || send_admin_command(&admin, &format!("{command}\n")))
+        });
+        for thread in threads {
+            let answer = thread.join().expect("the thread does not panic");
+            assert!(answer.starts_with("200 "), "{commands:?}: {answer}");
+        }
+        let answered = Instant::now();
+        call_for(DRAIN_GRACE + Duration::from_millis(200));
+        for (node, id) in [(&a, "a"), (&b, "b"), (&c, "c")] {
+            let is_excluded = excluded.iter().any(|e| e.addr == node.addr);
+            let requests = node.requests_after(answered + DRAIN_GRACE).len();
+            assert_eq!(requests == 0, is_excluded, "{commands:?}: {requests} requests at {id}");
+        }
+    }
+}
--- a/crates/cli/tests/machine.rs
+++ b/crates/cli/tests/machine.rs
@@ -248,11 +248,16 @@
                 assert!(caller.join().expect("the thread does not panic").starts_with("200 "));
             }
             let files = std::fs::read_dir(folder.path()).expect("the folder can be read").flatten();
-            let line_counts: Vec<usize> = files
-                .filter_map(|f| std::fs::read_to_string(f.path()).ok())
-                .map(|t| t.lines().count())
-                .collect();
-            // Each file has a header line and the excluded nodes; one of the two files also has a line with
+            let (locks, sets): (Vec<_>, Vec<_>) = files
+                .map(|f| (f.file_name().to_string_lossy().into_owned(), std::fs::read_to_string(f.path())))
+                .filter_map(|(name, text)| Some((name, text.ok()?)))
+                .partition(|(name, _)| name.starts_with('.') && name.ends_with(".lock"));
+            assert!(
+                locks.len() == 1 && locks[0].1.is_empty(),
+                "one file is locked, which is empty: {locks:?}"
+            );
+            let line_counts: Vec<usize> = sets.iter().map(|(_, text)| text.lines().count()).collect();
+            // Each other file has a header line and the excluded nodes; one of the two files also has a line with
             // the deployment.
             let nodes = if what == "exclude" { 3 } else { 0 };
             assert!(
--- a/crates/front/src/clients/answer_memory.rs
+++ b/crates/front/src/clients/answer_memory.rs
@@ -37,7 +37,7 @@
 }
 
 /// Memory of the answers on a connection, requested or queued, in bytes.
-fn held_memory(connection: &dyn AnswerQueue) -> usize {
+fn memory_of(connection: &dyn AnswerQueue) -> usize {
     connection.queued_memory() + connection.reserved_memory().load(Ordering::Relaxed)
 }
 
@@ -162,14 +162,14 @@
 
     /// Whether a call on a connection that holds nothing waits for memory.
     pub fn has_starved_call(&self) -> bool {
-        lock(&self.waiting).calls.iter().any(|call| held_memory(&*call.connection) == 0)
+        lock(&self.waiting).calls.iter().any(|call| memory_of(&*call.connection) == 0)
     }
 
     /// Whether a connection may hold this many more bytes.
     fn admits(&self, connection: &dyn AnswerQueue, bytes: usize) -> bool {
         let free = self.admission_limit.saturating_sub(self.account.used());
-        let held = held_memory(connection);
-        bytes <= free && (held == 0 || held + bytes <= free)
+        let used = memory_of(connection);
+        bytes <= free && (used == 0 || used + bytes <= free)
     }
 
     fn reserve(
@@ -190,8 +190,8 @@
     /// arrival. A call that does not fit at all lets no later one pass.
     fn grant(self: &Arc<AnswerMemory>, waiting: &mut WaitingCalls) {
         let mut in_order: Vec<(usize, &Arc<WaitingCall>)> =
-            waiting.calls.iter().map(|call| (held_memory(&*call.connection), call)).collect();
-        in_order.sort_by_key(|(held, _)| *held);
+            waiting.calls.iter().map(|call| (memory_of(&*call.connection), call)).collect();
+        in_order.sort_by_key(|(used, _)| *used);
         for (_, call) in in_order {
             if !self.account_has_left(call.bytes) {
                 break;
--- a/crates/front/src/clients/answer_memory/tests.rs
+++ b/crates/front/src/clients/answer_memory/tests.rs
@@ -44,7 +44,7 @@
     let connections: Vec<_> = (0..4).map(|_| new_connection()).collect();
     let first = fill(&memory, &connections[0]);
     let half = memory.admission_limit / 2;
-    assert!(held_memory(&*connections[0]).abs_diff(half) <= longest);
+    assert!(memory_of(&*connections[0]).abs_diff(half) <= longest);
     let others: Vec<_> = connections[1..].iter().map(|c| fill(&memory, c)).collect();
     assert!(others.iter().all(|answers| !answers.is_empty()), "each connection gets something");
     assert!(memory.account.used() <= memory.admission_limit);
@@ -52,7 +52,7 @@
     let short = memory.acquire(&newcomer, 1.0, &Caller::default(), Instant::now());
     assert!(short.is_ok(), "a short answer fits beside the long ones");
     drop((first, others, short));
-    assert_eq!((memory.account.used(), held_memory(&*connections[0])), (0, 0));
+    assert_eq!((memory.account.used(), memory_of(&*connections[0])), (0, 0));
 }
 
 /// Queued answers count like requested ones, and a call that gets no memory in time, or whose client leaves, is
@@ -73,7 +73,7 @@
     caller.disconnect();
     let refused = memory.acquire(&other, LONGEST_KB, &caller, Instant::now() + Duration::from_secs(60)).err();
     assert_eq!(refused, Some(NoAnswerMemory::Disconnected));
-    assert_eq!((held_memory(&*other), lock(&memory.waiting).calls.len()), (0, 0));
+    assert_eq!((memory_of(&*other), lock(&memory.waiting).calls.len()), (0, 0));
 }
 
 /// Memory that a client releases by reading goes to the waiting call whose connection holds least, although
@@ -83,7 +83,7 @@
     let memory = new_memory();
     let (busy, quiet) = (new_connection(), new_connection());
     let mut queued = Reservation::new(memory.account.clone());
-    let held = fill(&memory, &busy);
+    let reserved = fill(&memory, &busy);
     queued.resize(memory.admission_limit - memory.account.used());
     let deadline = Instant::now() + Duration::from_secs(20);
     let wait_on = |connection: &Arc<dyn AnswerQueue>| {
@@ -103,7 +103,7 @@
     queued.resize(queued.bytes() - answer_memory(240_000));
     let granted = second.join().expect("the thread does not panic");
     assert!(granted.is_ok() && waiting(1), "only the quiet connection's call is granted");
-    drop((queued, held));
+    drop((queued, reserved));
     assert!(first.join().expect("the thread does not panic").is_ok());
 }
 
--- a/crates/front/src/control/admin/exclusions.rs
+++ b/crates/front/src/control/admin/exclusions.rs
@@ -21,36 +21,49 @@
     Include,
 }
 
+impl ExclusionChange {
+    /// Changes the set of excluded cache nodes. Returns `false` and changes nothing if the cache node is
+    /// neither listed nor excluded.
+    fn apply(self, cache: &CacheId, is_listed: bool, excluded: &mut BTreeSet<CacheId>) -> bool {
+        if !is_listed && (self == ExclusionChange::Exclude || !excluded.contains(cache)) {
+            return false;
+        }
+        match self {
+            ExclusionChange::Exclude => excluded.insert(cache.clone()),
+            ExclusionChange::Include => excluded.remove(cache),
+        };
+        true
+    }
+}
+
 /// Manually excludes a cache node in every dispatch queue, or ends its exclusion, and returns the answer to
 /// the command. The new set is stored before it is applied, so that a process that replaces this one has it.
 /// If it cannot be stored, nothing changes and the answer is `400`.
 pub fn set_manual_exclusion(front: &SharedState, id: &str, change: ExclusionChange) -> String {
     let (queues, cache) = (front.queues.as_slice(), CacheId::from(id));
     let _change_guard = front.manual_exclusions.lock_for_change();
-    let mut excluded = currently_excluded(front);
     let is_listed = queues.iter().any(|queue| queue.dispatcher.is_listed(&cache));
-    if !is_listed && (change == ExclusionChange::Exclude || !excluded.contains(&cache)) {
-        return format!("400 unknown {id}\n");
-    }
-    match change {
-        ExclusionChange::Exclude => excluded.insert(cache),
-        ExclusionChange::Include => excluded.remove(&cache),
+    let update = front
+        .manual_exclusions
+        .update(|| currently_excluded(front), |excluded| change.apply(&cache, is_listed, excluded));
+    let excluded = match update {
+        Ok(Some(excluded)) => excluded,
+        Ok(None) => return format!("400 unknown {id}\n"),
+        Err(e) => {
+            tracing::warn!(
+                node = %id,
+                "admin: no exclusion is changed, because {} cannot be stored: {e}",
+                front.manual_exclusions
+            );
+            return format!("400 {id} can't be kept: {e}\n");
+        }
     };
-    let ids: Vec<CacheId> = excluded.iter().cloned().collect();
-    if let Err(e) = front.manual_exclusions.save(&ids) {
-        tracing::warn!(
-            node = %id,
-            "admin: no exclusion is changed, because {} cannot be stored: {e}",
-            front.manual_exclusions
-        );
-        return format!("400 {id} can't be kept: {e}\n");
-    }
     apply_manual_exclusions(front, &excluded);
     let done = match change {
         ExclusionChange::Exclude => "excluded",
         ExclusionChange::Include => "included",
     };
-    tracing::info!(node = %id, "admin: {done}");
+    tracing::info!(node = %id, nodes = excluded.len(), "admin: {done}");
     format!("200 {done} {id}\n")
 }
 
--- a/crates/front/src/control/manual_exclusion.rs
+++ b/crates/front/src/control/manual_exclusion.rs
@@ -7,8 +7,12 @@
 //! no exclusion.
 //!
 //! A file is complete and durable before a command is answered: it is written under a temporary name, synced
-//! and renamed, and the folder is synced. Two processes of one front may run at the same time while one
-//! replaces the other; each checks for changes that the other has made
+//! and renamed, and the folder is synced.
+//!
+//! Two processes of one front may run at the same time while one replaces the other. The file is the state
+//! that they share: a command changes the set that is stored at that moment, under a lock of both processes
+//! ([`ManualExclusions::update`]), and not the set that its own process has applied, which may lack a command
+//! that the other process has just accepted. Each process checks for changes that the other has made
 //! ([`ManualExclusions::changed_by_other_process`]).
 //!
 //! The earlier version of the program had one file for each front name. That file is still read if this front
@@ -16,11 +20,14 @@
 //! a line with the deployment to it, which the earlier version takes for the id of a node that does not
 //! exist.
 
+use super::file_lock;
 use crate::failure::retry_with_backoff;
 use crate::sync::lock;
 use fernslip::json::Names;
 use fernslip::CacheId;
 use fernslip_view::Id;
+use std::collections::BTreeSet;
+use std::fs::File;
 use std::io::{self, ErrorKind, Write};
 use std::net::SocketAddr;
 use std::os::unix::fs::MetadataExt;
@@ -36,8 +43,8 @@
 
 /// How long reading an unreadable file is retried at start; the process must be ready within 6 s.
 const READ_RETRY_TIME: Duration = Duration::from_secs(2);
-/// How long a failed write is retried; the caller of the command waits 1 s for the answer.
-const WRITE_RETRY_TIME: Duration = Duration::from_millis(500);
+/// How long a failed change of the file is retried; the caller of the command waits 1 s for the answer.
+const UPDATE_RETRY_TIME: Duration = Duration::from_millis(500);
 
 /// The files that store a front's manual exclusions.
 #[derive(Debug)]
@@ -49,8 +56,9 @@
     shared_file: PathBuf,
     /// The digest that identifies the deployment, in hexadecimal.
     deployment: String,
-    /// Locked while a command changes the set and its file, so that concurrent commands do not overwrite each
-    /// other's change.
+    /// The path of the file that a process locks while it changes the stored set.
+    lock_file: PathBuf,
+    /// Locked while this process changes the set that it has applied.
     change_lock: Mutex<()>,
     /// The version of `own_file` that this process last read or wrote. `None` if it did neither.
     known_version: Mutex<Option<FileVersion>>,
@@ -65,8 +73,11 @@
 
 impl FileVersion {
     fn at_path(path: &Path) -> Option<FileVersion> {
-        let data = std::fs::metadata(path).ok()?;
-        Some(FileVersion { inode: data.ino(), modified: (data.mtime(), data.mtime_nsec()) })
+        std::fs::metadata(path).ok().map(|data| FileVersion::of(&data))
+    }
+
+    fn of(data: &std::fs::Metadata) -> FileVersion {
+        FileVersion { inode: data.ino(), modified: (data.mtime(), data.mtime_nsec()) }
     }
 }
 
@@ -84,6 +95,20 @@
     Line(PathBuf, usize, &'static str),
 }
 
+/// The reason why a change of the stored set failed.
+#[derive(Debug, thiserror::Error)]
+pub enum UpdateError {
+    /// The file cannot be locked; `WouldBlock` if the other process holds the lock.
+    #[error("{path} cannot be locked: {1}", path = .0.display())]
+    Lock(PathBuf, io::Error),
+    /// The stored set cannot be read.
+    #[error(transparent)]
+    Read(FileError),
+    /// The new set cannot be written.
+    #[error(transparent)]
+    Write(io::Error),
+}
+
 impl std::fmt::Display for ManualExclusions {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{}", self.own_file.display())
@@ -103,14 +128,15 @@
             folder: folder.into(),
             own_file: folder.join(format!("fernslip-{file_name}-{deployment}.excluded")),
             shared_file: folder.join(format!("fernslip-{file_name}.excluded")),
+            lock_file: folder.join(format!(".fernslip-{file_name}-{deployment}.lock")),
             deployment,
             change_lock: Mutex::default(),
             known_version: Mutex::default(),
         }
     }
 
-    /// Locks the set for a change; the caller holds the guard from reading the set until the new one is
-    /// applied.
+    /// Locks the set that this process has applied; the caller holds the guard from reading the stored set
+    /// until that set is applied.
     pub fn lock_for_change(&self) -> MutexGuard<'_, ()> {
         lock(&self.change_lock)
     }
@@ -183,25 +209,55 @@
         Ok(ids)
     }
 
-    /// Stores the set of excluded nodes. Each file is replaced completely or not at all, and a failed write
-    /// is retried for `WRITE_RETRY_TIME`.
+    /// Changes the stored set: `change` gets the set as it is stored now and returns whether the changed set is
+    /// to be stored. While it runs, no other process changes the stored set. If nothing is stored, or the file
+    /// has an invalid line, `applied` provides the set. Returns the set after the change, or `None` if
+    /// `change` wants nothing to be stored. A failure is retried for `UPDATE_RETRY_TIME`.
     ///
     /// # Errors
-    /// Returns the error of the last attempt to write.
-    pub fn save(&self, ids: &[CacheId]) -> io::Result<()> {
-        retry_with_backoff(WRITE_RETRY_TIME, |_| true, |_| self.save_once(ids))
+    /// Returns the error of the last attempt; the stored set is then as before.
+    pub fn update(
+        &self,
+        applied: impl Fn() -> BTreeSet<CacheId>,
+        change: impl Fn(&mut BTreeSet<CacheId>) -> bool,
+    ) -> Result<Option<BTreeSet<CacheId>>, UpdateError> {
+        retry_with_backoff(UPDATE_RETRY_TIME, |_| true, |_| self.update_once(&applied, &change))
+    }
+
+    fn update_once(
+        &self,
+        applied: &impl Fn() -> BTreeSet<CacheId>,
+        change: &impl Fn(&mut BTreeSet<CacheId>) -> bool,
+    ) -> Result<Option<BTreeSet<CacheId>>, UpdateError> {
+        let _lock = file_lock::try_lock(&self.lock_file)
+            .map_err(|error| UpdateError::Lock(self.lock_file.clone(), error))?;
+        let mut excluded = match read_ids(&self.own_file) {
+            Ok(Some(ids)) => ids.iter().map(|id| CacheId::from(id.as_str())).collect(),
+            Ok(None) => applied(),
+            Err(error @ FileError::Line(..)) => {
+                tracing::warn!("admin: {error}; the file is replaced by the exclusions of this process");
+                applied()
+            }
+            Err(error @ FileError::Read(..)) => return Err(UpdateError::Read(error)),
+        };
+        if !change(&mut excluded) {
+            return Ok(None);
+        }
+        self.save(&excluded).map_err(UpdateError::Write)?;
+        Ok(Some(excluded))
     }
 
-    fn save_once(&self, ids: &[CacheId]) -> io::Result<()> {
-        let lines: String = ids.iter().flat_map(|id| [&*id.0, "\n"]).collect();
+    /// Stores the set of excluded nodes. Each file is replaced completely or not at all.
+    fn save(&self, excluded: &BTreeSet<CacheId>) -> io::Result<()> {
+        let lines: String = excluded.iter().flat_map(|id| [&*id.0, "\n"]).collect();
         write_atomically(
             &self.shared_file,
             &format!("{FILE_HEADER}\n{DEPLOYMENT_PREFIX}{}\n{lines}", self.deployment),
         )?;
         // Written last, because this is the file that is read.
-        write_atomically(&self.own_file, &format!("{FILE_HEADER}\n{lines}"))?;
-        *lock(&self.known_version) = FileVersion::at_path(&self.own_file);
-        std::fs::File::open(&self.folder)?.sync_all()
+        let version = write_atomically(&self.own_file, &format!("{FILE_HEADER}\n{lines}"))?;
+        *lock(&self.known_version) = Some(version);
+        File::open(&self.folder)?.sync_all()
     }
 }
 
@@ -231,17 +287,19 @@
 }
 
 /// Writes `text` to a temporary file in the same folder and renames it to `path`, so that after a power loss
-/// either the old file or the new one is complete.
-fn write_atomically(path: &Path, text: &str) -> io::Result<()> {
+/// either the old file or the new one is complete. Returns the version that was written.
+fn write_atomically(path: &Path, text: &str) -> io::Result<FileVersion> {
     // Two processes of one front may write at the same time, so each write uses a different temporary file
     // name.
     static WRITES: AtomicU64 = AtomicU64::new(0);
     let number = WRITES.fetch_add(1, Ordering::Relaxed);
     let partial = path.with_extension(format!("part{}-{number}", std::process::id()));
-    let written = std::fs::File::create(&partial).and_then(|mut file| {
+    let written = File::create(&partial).and_then(|mut file| {
         file.write_all(text.as_bytes())?;
         file.sync_all()?;
-        std::fs::rename(&partial, path)
+        let version = FileVersion::of(&file.metadata()?);
+        std::fs::rename(&partial, path)?;
+        Ok(version)
     });
     if written.is_err() {
         let _ = std::fs::remove_file(&partial);
--- a/crates/front/src/control/manual_exclusion/tests.rs
+++ b/crates/front/src/control/manual_exclusion/tests.rs
@@ -35,14 +35,23 @@
     ids.iter().map(|id| CacheId::from(*id)).collect()
 }
 
+/// Replaces the stored set.
+fn store(front: &ManualExclusions, ids: &[&str]) {
+    let replace = |excluded: &mut BTreeSet<CacheId>| {
+        *excluded = cache_ids(ids).into_iter().collect();
+        true
+    };
+    front.update(BTreeSet::new, replace).expect("the file can be written");
+}
+
 #[test]
 fn a_stored_set_is_loaded_and_an_invalid_file_is_rejected_with_the_line_number() {
     let folder = TempFolder::new("back");
     let front = folder.front_files("docs", 4100);
     assert!(front.load().expect("a missing file loads as no exclusions").is_empty());
-    front.save(&cache_ids(&["a", "b"])).expect("the file can be written");
+    store(&front, &["a", "b"]);
     assert_eq!(front.load().expect("the exclusions can be loaded"), cache_ids(&["a", "b"]));
-    front.save(&[]).expect("the file can be written");
+    store(&front, &[]);
     assert!(
         front.load().expect("the exclusions can be loaded").is_empty(),
         "an empty set is stored and loaded as empty"
@@ -70,10 +79,10 @@
         folder.front_files("pages", 4100),
         folder.front_files("docs", 4200),
     );
-    front.save(&cache_ids(&["a"])).expect("the file can be written");
+    store(&front, &["a"]);
     assert!(other_class.load().expect("the exclusions can be loaded").is_empty());
     assert!(other_port.load().expect("the exclusions can be loaded").is_empty());
-    other_class.save(&cache_ids(&["z"])).expect("the file can be written");
+    store(&other_class, &["z"]);
     assert_eq!(
         front.load().expect("the exclusions can be loaded"),
         cache_ids(&["a"]),
@@ -90,7 +99,7 @@
     let front = folder.front_files("docs", 4100);
     std::fs::write(&front.shared_file, format!("{FILE_HEADER}\na\n")).expect("the file can be written");
     assert_eq!(front.load().expect("the exclusions can be loaded"), cache_ids(&["a"]));
-    front.save(&cache_ids(&["a", "b"])).expect("the file can be written");
+    store(&front, &["a", "b"]);
     // The earlier version reads each line after the header as an id.
     let text = std::fs::read_to_string(&front.shared_file).expect("the shared file can be read");
     let lines: Vec<&str> = text.lines().collect();
@@ -101,3 +110,45 @@
     assert_eq!(front.load().expect("the exclusions can be loaded"), cache_ids(&["a", "b"]));
     assert!(folder.front_files("pages", 4100).load().expect("the exclusions can be loaded").is_empty());
 }
+
+/// Two processes of one front accept commands at the same time. Each changed the set that it had applied and
+/// stored the result, so that one of two accepted commands was undone.
+#[test]
+fn commands_to_two_processes_at_the_same_time_are_all_stored() {
+    let folder = TempFolder::new("processes");
+    let processes = [folder.front_files("docs", 4100), folder.front_files("docs", 4100)];
+    let exclude = |process: &ManualExclusions, id: String| {
+        let applied_by_neither = || BTreeSet::from([CacheId::from("never stored")]);
+        let insert = |excluded: &mut BTreeSet<CacheId>| excluded.insert(CacheId::from(id.as_str()));
+        process.update(applied_by_neither, insert).map(|_| ())
+    };
+    store(&processes[0], &[]);
+    std::thread::scope(|threads| {
+        for (process, name) in processes.iter().zip(["a", "b"]) {
+            threads.spawn(move || {
+                for n in 0..20 {
+                    exclude(process, format!("{name}{n}")).expect("the command is stored in time");
+                }
+            });
+        }
+    });
+    let stored = processes[0].load().expect("the exclusions can be loaded");
+    assert_eq!(stored.len(), 40, "{stored:?}");
+    let last_writer = processes.iter().filter(|p| !p.changed_by_other_process()).count();
+    assert!(last_writer >= 1 && processes[1].load().is_ok_and(|ids| ids == stored));
+}
+
+/// A process that holds the lock, as one that was stopped in the middle of a command does, delays the commands
+/// of the other process only until they are answered that nothing was changed.
+#[test]
+fn a_command_is_not_stored_while_another_process_holds_the_lock() {
+    let folder = TempFolder::new("locked");
+    let front = folder.front_files("docs", 4100);
+    store(&front, &["a"]);
+    let locked = file_lock::try_lock(&front.lock_file).expect("the lock is free");
+    let refused = front.update(BTreeSet::new, |excluded| excluded.insert(CacheId::from("b")));
+    assert!(matches!(refused, Err(UpdateError::Lock(..))), "{refused:?}");
+    drop(locked);
+    store(&front, &["a", "b"]);
+    assert_eq!(front.load().expect("the exclusions can be loaded"), cache_ids(&["a", "b"]));
+}
