Front: in a crowd of new connections, a client that has sent its call is served

Cause: a connection that has sent nothing is not evicted for 200 ms. A crowd that comes faster fills the limit with such, and admit dropped the newcomer, whatever it had sent.

Evidence: a front that was stopped while the crowd and the client connected resets the client when it goes on, although the call is in its socket.

Change: at the limit, a newcomer that has sent a whole message takes the place of the oldest silent connection, else of the one that began its message last, and is not evicted before its message is read.

--- a/crates/front/src/clients/connection.rs
+++ b/crates/front/src/clients/connection.rs
@@ -73,6 +73,9 @@
     pub(super) closing: bool,
     /// Whether a complete message has been received.
     pub(super) message_received: bool,
+    /// Whether the system had a complete message of the client when the connection was accepted, and it is not
+    /// read yet. The connection is not evicted before.
+    pub(super) message_unread: bool,
     /// Whether a request has been served on this connection; such connections are evicted last.
     pub(super) served: bool,
 }
@@ -135,6 +138,7 @@
             accepted: 0,
             closing: false,
             message_received: false,
+            message_unread: false,
             served: false,
         };
         ClientConnection {
@@ -389,7 +393,7 @@
         let (mut open, now) = (lock(&self.open), Instant::now());
         (open.input_memory, open.last_input) = (buffer.memory(), now);
         if received {
-            open.message_received = true;
+            (open.message_received, open.message_unread) = (true, false);
             open.partial_since = None;
             open.idle_since = open.idle_since.map(|_| now);
         }
--- a/crates/front/src/clients/eviction.rs
+++ b/crates/front/src/clients/eviction.rs
@@ -118,12 +118,27 @@
         }
     }
 
+    /// Rank for [`Server::evict_incomplete`], the highest first: whether the client has sent nothing, then the age
+    /// of the connection, reversed if a message is begun. `None` if a message was received or the connection is
+    /// being closed.
+    fn incompleteness(&self, now: Instant) -> Option<(bool, Duration)> {
+        let open = lock(&self.open);
+        if open.closing || open.message_received || open.message_unread || self.link.is_closing() {
+            return None;
+        }
+        let age = now.saturating_duration_since(open.idle_since?);
+        Some(match open.partial {
+            0 => (true, age),
+            _ => (false, Duration::MAX.saturating_sub(age)),
+        })
+    }
+
     /// Rank for eviction, the highest first: by kind (0: has been served, 1: has only sent messages, 2: has
     /// sent nothing), then by whether the client has had the time to read its answers, then by the time without
     /// an open call. `None`: the connection is not evicted.
     pub(super) fn eviction_rank(&self, now: Instant) -> Option<(u8, bool, Duration)> {
         let open = lock(&self.open);
-        if open.closing || self.link.is_closing() {
+        if open.closing || open.message_unread || self.link.is_closing() {
             return None;
         }
         let idle = now.saturating_duration_since(open.idle_since?);
@@ -199,9 +214,33 @@
     /// another; returns whether it is. Protects new clients against those that called once and stay
     /// connected.
     pub(super) fn make_capacity(&self, front: &SharedState) -> bool {
+        self.has_capacity() || self.evict(front)
+    }
+
+    /// Whether the connections that are not being closed are within the limit.
+    pub(super) fn has_capacity(&self) -> bool {
         let connected =
             self.descriptors.load(Ordering::Relaxed).saturating_sub(self.closing.load(Ordering::Relaxed));
-        connected <= self.budget.clients || self.evict(front)
+        connected <= self.budget.clients
+    }
+
+    /// Closes a connection that has not yet sent a whole message, however new it is, so that a client that has
+    /// sent one is served: the oldest of those that have sent nothing, else the newest of those that have
+    /// begun a message. Returns whether there was one.
+    ///
+    /// Clients that connect in great numbers and send nothing, or send slowly, would otherwise keep others out:
+    /// each of their connections is safe for a while, and the next one takes its place.
+    pub(super) fn evict_incomplete(&self, front: &SharedState) -> bool {
+        let now = Instant::now();
+        let evicted = {
+            let clients = lock(&self.clients);
+            let ranked = clients.values().filter_map(|c| c.incompleteness(now).map(|rank| (rank, c)));
+            ranked.max_by_key(|(rank, _)| *rank).map(|(_, client)| client.clone())
+        };
+        if let Some(client) = &evicted {
+            client.start_closing(front, Reason::TooMany);
+        }
+        evicted.is_some()
     }
 
     /// Closes the connection with the highest rank for eviction: one that never sent a message, else one
--- a/crates/front/src/clients/server.rs
+++ b/crates/front/src/clients/server.rs
@@ -25,6 +25,10 @@
 /// First and longest wait before accepting again when no descriptor was left.
 const DESCRIPTOR_BACKOFF: [Duration; 2] = [Duration::from_millis(5), Duration::from_millis(80)];
 
+/// Bytes of a new connection's input that are looked at before it is accepted in place of another. Longer than
+/// a read, which has a few short fields.
+const PEEKED_BYTES: usize = 1024;
+
 /// All client connections and the limits that they share.
 pub struct Server {
     pub(super) budget: Budget,
@@ -65,6 +69,14 @@
     pub partial: usize,
 }
 
+/// Whether a client whose connection was just accepted has already sent a whole message. Messages longer than
+/// [`PEEKED_BYTES`] count as incomplete.
+fn has_sent_message(stream: &CoIo<TcpStream>) -> bool {
+    let mut bytes = [0; PEEKED_BYTES];
+    let peeked = stream.inner().peek(&mut bytes).unwrap_or(0);
+    matches!(rpc::parse_message(&bytes[..peeked]), Ok(Some(_)))
+}
+
 impl Server {
     /// Creates a server without clients, with the limits for what they may use and the classes that they may
     /// call.
@@ -164,7 +176,8 @@
     /// Counts an accepted connection and starts its coroutine, or drops it if no capacity can be freed.
     fn admit(&self, front: &Arc<SharedState>, stream: CoIo<TcpStream>, peer: SocketAddr) {
         self.descriptors.fetch_add(1, Ordering::Relaxed);
-        if !self.make_capacity(front) {
+        let has_message = !self.has_capacity() && has_sent_message(&stream);
+        if !(has_message && self.evict_incomplete(front) || self.make_capacity(front)) {
             drop(stream);
             self.descriptors.fetch_sub(1, Ordering::Relaxed);
             front.reason_counts.add(EventKind::ClientClosed, Reason::TooMany.code());
@@ -174,6 +187,7 @@
         // Added at once, so that the limit check for the next connection counts this one.
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let client = Arc::new(ClientConnection::new(&self.memory));
+        lock(&client.open).message_unread = has_message;
         lock(&self.clients).insert(number, client.clone());
         let front = front.clone();
         spawn(move || front.server.serve_connection(&front, number, &client, stream, peer));
