--- a/crates/front/src/clients/forward.rs
+++ b/crates/front/src/clients/forward.rs
@@ -1,7 +1,7 @@
 //! Forwards a request: waits for a permit of its pool, makes the attempts that the decision crate orders,
 //! and returns one final answer.
 
-use super::answer_memory::{AnswerMemory, AnswerQueue, AnswerReservation, NoAnswerMemory};
+use super::answer_memory::{AnswerQueue, AnswerReservation, NoAnswerMemory};
 use crate::call::CallFields;
 use crate::invariants::Invariant;
 use crate::reason_counts::EventKind;
@@ -90,16 +90,12 @@
     let Some(permit) = queue.acquire(clock, wait_until_ms, caller) else {
         return Answer::Rejected(retry_after_ms).into();
     };
-    let answers = &front.server.memory().answers;
-    let mut memory = None;
-    if !front.server.is_write(request.class) {
-        let wait_until = started + budget.mul_f64(MAX_WAIT_FRACTION);
-        match reserve_answer(front, answers, connection, request.size_kb, caller, wait_until) {
-            Ok(reservation) => memory = Some(reservation),
-            Err(NoAnswerMemory::Disconnected) => return Answer::None.into(),
-            Err(NoAnswerMemory::TimedOut) => return Answer::Rejected(retry_after_ms).into(),
-        }
-    }
+    let wait_until = started + budget.mul_f64(MAX_WAIT_FRACTION);
+    let mut memory = match reserve_answer(front, connection, &request, caller, wait_until) {
+        Ok(reservation) => reservation,
+        Err(NoAnswerMemory::Disconnected) => return Answer::None.into(),
+        Err(NoAnswerMemory::TimedOut) => return Answer::Rejected(retry_after_ms).into(),
+    };
     // Nothing yields between this check and `pick`, so the decision crate is notified of clients that
     // disconnect later.
     if caller.is_disconnected() {
@@ -126,38 +122,33 @@
         reply: None,
     };
     let first = queue.dispatcher.pick(clock.now(), request, caller.id());
-    let mut answer = forwarding.run(first);
+    let answer = forwarding.run(first);
     forwarding.release_unused_claim();
-    if let (Answer::Served(reply), Some(memory)) = (&answer, &mut memory) {
-        if !reply.current {
-            answers.sizes.record(size_kb, reply.body.len());
-        }
-        if !memory.fits(reply.body.len()) {
-            front.reason_counts.add(EventKind::AnswerMemory, "longer_than_expected");
-            answer = match effect {
-                Effect::Idempotent => Answer::Rejected(retry_after_ms),
-                Effect::Deduplicated | Effect::AtMostOnce => Answer::Failed,
-            };
-        }
-    }
+    let answer = match &mut memory {
+        Some(memory) => forwarding.fit_into_memory(answer, memory),
+        None => answer,
+    };
     Forwarded { answer, memory }
 }
 
 /// Reserves the memory of the answer to a read, and counts the reads that have to wait for it or are rejected.
-/// Yields.
+/// `None` for a write, whose answer is short. Yields.
 ///
 /// # Errors
 /// No memory was reserved by `wait_until`, or the client disconnected.
 fn reserve_answer(
     front: &SharedState,
-    answers: &Arc<AnswerMemory>,
     connection: &Arc<dyn AnswerQueue>,
-    size_kb: f64,
+    request: &Request,
     caller: &Caller,
     wait_until: Instant,
-) -> Result<AnswerReservation, NoAnswerMemory> {
+) -> Result<Option<AnswerReservation>, NoAnswerMemory> {
+    if front.server.is_write(request.class) {
+        return Ok(None);
+    }
     let started = Instant::now();
-    let reserved = answers.acquire(connection, size_kb, caller, wait_until);
+    let answers = &front.server.memory().answers;
+    let reserved = answers.acquire(connection, request.size_kb, caller, wait_until);
     match &reserved {
         Err(NoAnswerMemory::TimedOut) => front.reason_counts.add(EventKind::AnswerMemory, "rejected"),
         Ok(_) if started.elapsed() >= MIN_COUNTED_WAIT => {
@@ -165,7 +156,7 @@
         }
         _ => {}
     }
-    reserved
+    reserved.map(Some)
 }
 
 /// State of a request that holds a permit of its pool.
@@ -279,6 +270,23 @@
         }
     }
 
+    /// Adapts the reserved memory to the answer, whose length is known now. An answer for which memory is short
+    /// is replaced by the one that its client gets instead.
+    fn fit_into_memory(&self, answer: Answer, memory: &mut AnswerReservation) -> Answer {
+        let Answer::Served(reply) = &answer else { return answer };
+        if !reply.current {
+            self.front.server.memory().answers.sizes.record(self.size_kb, reply.body.len());
+        }
+        if memory.fits(reply.body.len()) {
+            return answer;
+        }
+        self.front.reason_counts.add(EventKind::AnswerMemory, "longer_than_expected");
+        match self.effect {
+            Effect::Idempotent => Answer::Rejected(self.retry_after_ms),
+            Effect::Deduplicated | Effect::AtMostOnce => Answer::Failed,
+        }
+    }
+
     /// Makes an attempt and reports its result; returns the next decision.
     fn execute(&mut self, attempt: Attempt) -> Decision {
         let Forwarding { front, queue, call, .. } = *self;
