Test: a process counts as stopped when all its threads are

The test stops one of two processes that accept from one socket, and connects to the other. kill returns before the threads of the process are stopped (62 of 300 times in a trial with two small programs), so the process can accept the connection and stop.

Change: the test waits until every thread of the process is stopped. What it asks of the front is as before.

--- a/crates/cli/tests/handover.rs
+++ b/crates/cli/tests/handover.rs
@@ -184,11 +184,23 @@
     }
 }
 
-/// Opens connections to the socket of two processes until each has accepted one; `busy` is accepted by the first
-/// process while the other is stopped, and the returned one by the other.
+/// Stops a process and waits until all its threads are stopped: `kill` returns before that, and a thread that
+/// still runs could accept the next connection.
+fn stop(front: &Front) {
+    front.signal("STOP");
+    common::wait_until("all threads of the process are stopped", || {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", front.child.id()));
+        tasks.expect("the process runs").flatten().all(|task| {
+            let status = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            status.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+        })
+    });
+}
+
+/// Opens a connection that the first of two processes on one socket accepts, and one that the second accepts.
 fn connect_to_each(processes: [&Front; 2]) -> [TcpStream; 2] {
     [0, 1].map(|n| {
-        processes[1 - n].signal("STOP");
+        stop(processes[1 - n]);
         let mut client = TcpStream::connect(&processes[n].addr).expect("the front accepts the connection");
         client.set_read_timeout(Some(common::STEP_TIMEOUT)).expect("the socket option can be set");
         client.write_all(&common::scripted::encode_health_check(1)).expect("the front accepts the bytes");
