Front: which endpoints a process starts with, and the offset it has applied, can be seen

Four hypotheses fit: the new process starts from its configuration (H1); it knows the drain and undoes it by a later list (H2); the requests are the old process's (H3); the decision crate uses a draining node (H4). Nothing in the log or the metrics tells them apart.

Change: the log line 'endpoints at start' with the listed and the draining nodes and the offset, and the metric relay.watch.offset, the last event that was applied.

--- a/crates/front/src/control/admin/answer.rs
+++ b/crates/front/src/control/admin/answer.rs
@@ -46,8 +46,9 @@
     let worker = event_loop::metric_line() + &front.main_loop_passes.metric_lines(Instant::now());
     let (clients, upstream) = (front.server.memory().accounts(), front.upstream.memory().accounts());
     let bus = [("bus_input", front.bus.input_memory())];
+    let watch = front.bus.metric_lines();
     let memory = memory::metric_lines(&[&clients[..], &upstream, &bus].concat());
-    format!("200 telemetry\n{counters}{violations}{reasons}{rejections}{worker}{memory}{view}EOF\n")
+    format!("200 telemetry\n{counters}{violations}{reasons}{rejections}{worker}{watch}{memory}{view}EOF\n")
 }
 
 /// Returns the number of requests rejected for each reason, summed over the dispatch queues, as lines
--- a/crates/front/src/control/discovery_watch.rs
+++ b/crates/front/src/control/discovery_watch.rs
@@ -113,6 +113,7 @@
         ReceivedLine::NothingNew => {}
         ReceivedLine::Event(offset, event) => {
             apply_event(front, event, front.bus.last_line_ms(&front.clock));
+            front.bus.set_applied_offset(offset);
             tracing::info!("bus offset={offset}");
         }
         ReceivedLine::Unreadable(offset, e) => {
@@ -183,6 +184,8 @@
     input_memory: Arc<MemoryAccount>,
     /// The number of bus lines and events since the start that were malformed or could not be parsed.
     unusable_lines: AtomicU64,
+    /// The offset of the last event that was applied.
+    applied_offset: AtomicU64,
 }
 
 /// The bus address and the state of the current connection to it.
@@ -215,9 +218,20 @@
             seed,
             input_memory: Arc::new(MemoryAccount::with_limit(max_input_bytes)),
             unusable_lines: AtomicU64::new(0),
+            applied_offset: AtomicU64::new(0),
         }
     }
 
+    /// Records the offset of the last event that was applied, for the metrics.
+    pub fn set_applied_offset(&self, offset: u64) {
+        self.applied_offset.store(offset, Ordering::Relaxed);
+    }
+
+    /// The watch's metrics, one `name=value` line each.
+    pub fn metric_lines(&self) -> String {
+        format!("relay.watch.offset={}\n", self.applied_offset.load(Ordering::Relaxed))
+    }
+
     /// The memory of received bytes that are not handled yet.
     pub fn input_memory(&self) -> &MemoryAccount {
         &self.input_memory
--- a/crates/front/src/startup.rs
+++ b/crates/front/src/startup.rs
@@ -39,6 +39,7 @@
 use crate::wall_clock::WallClock;
 use crate::watch_history::WatchHistory;
 use crate::{admin, gossip, listen, sleep, view};
+use fernslip::facade::EndpointCounts;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -332,9 +333,19 @@
             Err(e) => tracing::warn!("ignoring an event in the configuration's `known` list: {e}"),
         }
     }
+    front.bus.set_applied_offset(history.offset());
+    log_endpoints_at_start(front, history.offset());
     history
 }
 
+/// Logs what the front starts with, so that a node which is used although it drains can be traced to the
+/// list that the process started from or to a later event.
+fn log_endpoints_at_start(front: &SharedState, offset: u64) {
+    let counts = front.queues.as_slice().first().map(|queue| queue.dispatcher.endpoint_counts());
+    let EndpointCounts { listed, draining } = counts.unwrap_or_default();
+    tracing::info!(listed, draining, offset, "endpoints at start");
+}
+
 /// Starts the coroutines and threads that communicate with other fronts and with the event bus.
 fn spawn_services(
     front: &Arc<SharedState>,
