Front: files that are replaced as a whole in a module of their own

Cause: manual_exclusion.rs has the writing of such a file and its versions among its own rules; the record of the discovery watch needs both.

Change: atomic_file.rs has FileVersion and write_atomically. No behaviour changes.

--- a/crates/front/src/control/manual_exclusion.rs
+++ b/crates/front/src/control/manual_exclusion.rs
@@ -20,6 +20,7 @@
 //! a line with the deployment to it, which the earlier version takes for the id of a node that does not
 //! exist.
 
+use crate::atomic_file::{write_atomically, Durability, FileVersion};
 use crate::failure::retry_with_backoff;
 use crate::file_lock;
 use crate::sync::lock;
@@ -28,11 +29,9 @@
 use fernslip_view::Id;
 use std::collections::BTreeSet;
 use std::fs::File;
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -64,23 +63,6 @@
     known_version: Mutex<Option<FileVersion>>,
 }
 
-/// Identifies a version of a file; a file that replaces it has another inode number or modification time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct FileVersion {
-    inode: u64,
-    modified: (i64, i64),
-}
-
-impl FileVersion {
-    fn at_path(path: &Path) -> Option<FileVersion> {
-        std::fs::metadata(path).ok().map(|data| FileVersion::of(&data))
-    }
-
-    fn of(data: &std::fs::Metadata) -> FileVersion {
-        FileVersion { inode: data.ino(), modified: (data.mtime(), data.mtime_nsec()) }
-    }
-}
-
 /// The digest that identifies a front in a deployment, in hexadecimal.
 fn deployment_digest(name: &str, listen: SocketAddr, names: &Names) -> String {
     let Names { zones, kinds, classes, .. } = names;
@@ -263,12 +245,11 @@
     /// Stores the set of excluded nodes. Each file is replaced completely or not at all.
     fn save(&self, excluded: &BTreeSet<CacheId>) -> io::Result<()> {
         let lines: String = excluded.iter().flat_map(|id| [&*id.0, "\n"]).collect();
-        write_atomically(
-            &self.shared_file,
-            &format!("{FILE_HEADER}\n{DEPLOYMENT_PREFIX}{}\n{lines}", self.deployment),
-        )?;
+        let write =
+            |path: &Path, text: String| write_atomically(path, &[text.as_bytes()], Durability::PowerLoss);
+        write(&self.shared_file, format!("{FILE_HEADER}\n{DEPLOYMENT_PREFIX}{}\n{lines}", self.deployment))?;
         // Written last, because this is the file that is read.
-        let version = write_atomically(&self.own_file, &format!("{FILE_HEADER}\n{lines}"))?;
+        let version = write(&self.own_file, format!("{FILE_HEADER}\n{lines}"))?;
         *lock(&self.known_version) = Some(version);
         File::open(&self.folder)?.sync_all()
     }
@@ -299,26 +280,5 @@
     Ok(Some(ids))
 }
 
-/// Writes `text` to a temporary file in the same folder and renames it to `path`, so that after a power loss
-/// either the old file or the new one is complete. Returns the version that was written.
-fn write_atomically(path: &Path, text: &str) -> io::Result<FileVersion> {
-    // Two processes of one front may write at the same time, so each write uses a different temporary file
-    // name.
-    static WRITES: AtomicU64 = AtomicU64::new(0);
-    let number = WRITES.fetch_add(1, Ordering::Relaxed);
-    let partial = path.with_extension(format!("part{}-{number}", std::process::id()));
-    let written = File::create(&partial).and_then(|mut file| {
-        file.write_all(text.as_bytes())?;
-        file.sync_all()?;
-        let version = FileVersion::of(&file.metadata()?);
-        std::fs::rename(&partial, path)?;
-        Ok(version)
-    });
-    if written.is_err() {
-        let _ = std::fs::remove_file(&partial);
-    }
-    written
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`start`] takes a [`LoadedConfig`] (the configuration and an optional site document) and serves until
 //! SIGTERM.
 
+pub mod atomic_file;
 pub mod buffer;
 pub mod clients;
 pub mod clock;
