Front: a process that replaces another starts from what that one was told by the bus

Cause: what the bus tells is only in the memory of the process. A replacing process has the configuration's known events, and asks the bus for the rest (evidence in: every process starts with draining=0 offset=1).

Change: the state of the discovery watch (position, nodes, ages of recent starts, recent purges) is stored as a checkpoint under $TMPDIR after each change, on a thread of its own; a process starts from it if it is at least as late as the configuration, and on a passed socket follows the other process's. WatchHistory has a generation beside the offset and moves into DiscoveryWatch, where the thread reaches it. The names of the files of a deployment and the retention of purges are in one place each.

Works because the file is written when the event is applied and needs no orderly end of the old process. The lock of both processes and the comparison of positions keep a lagging process from putting back an older state.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! child process.
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+pub mod event_bus;
 pub mod scripted;
 
 use rmpv::Value;
--- a/crates/fernslip/src/policy.rs
+++ b/crates/fernslip/src/policy.rs
@@ -279,8 +279,7 @@
         self.nodes.values_mut().for_each(|node| node.filter.rotate());
         self.demand.rotate();
         self.nodes.retain(|_, node| node.phase != Phase::Out || node.in_flight.local.current > 0.0);
-        let retention_ms = self.settings.purge_done_ms.max(2.0 * FILTER_GENERATION_MS) + FILTER_GENERATION_MS;
-        self.purges.drop_before(self.now_ms - retention_ms);
+        self.purges.drop_before(self.now_ms - self.settings.purge_retention_ms());
     }
 
     /// Turns on [`Action::Evidence`], which reports to other routers what this router's answers show about
--- a/crates/fernslip/src/policy/purges.rs
+++ b/crates/fernslip/src/policy/purges.rs
@@ -1,10 +1,17 @@
 //! Purges: the maximum age of a copy that may still be served.
 
 use super::Router;
-use super::PURGE_MARGIN_MS;
+use super::{FILTER_GENERATION_MS, PURGE_MARGIN_MS};
 use crate::api::*;
 use crate::state::PendingRequest;
 
+impl Settings {
+    /// How long a purge is retained, in milliseconds. No copy older than the purge is left after that time.
+    pub fn purge_retention_ms(&self) -> f64 {
+        self.purge_done_ms.max(2.0 * FILTER_GENERATION_MS) + FILTER_GENERATION_MS
+    }
+}
+
 impl Router {
     /// Records that an object, or a whole group if `object` is `None`, was purged `age_ms` ago.
     pub(super) fn handle_purge(&mut self, object: Option<ObjectId>, group: u64, age_ms: f64) {
--- a/crates/front/src/control/admin/answer.rs
+++ b/crates/front/src/control/admin/answer.rs
@@ -2,6 +2,7 @@
 
 use super::command::AdminCommand;
 use super::exclusions::{self, ExclusionChange};
+use crate::control::checkpoint_file::CheckpointFile;
 use crate::event_loop;
 use crate::memory;
 use crate::reason_counts::metric_name;
@@ -46,7 +47,8 @@
     let worker = event_loop::metric_line() + &front.main_loop_passes.metric_lines(Instant::now());
     let (clients, upstream) = (front.server.memory().accounts(), front.upstream.memory().accounts());
     let bus = [("bus_input", front.bus.input_memory())];
-    let watch = front.bus.metric_lines();
+    let checkpoints = front.checkpoint_file.as_ref().map_or(String::new(), CheckpointFile::metric_lines);
+    let watch = front.bus.metric_lines() + &checkpoints;
     let memory = memory::metric_lines(&[&clients[..], &upstream, &bus].concat());
     format!("200 telemetry\n{counters}{violations}{reasons}{rejections}{worker}{watch}{memory}{view}EOF\n")
 }
--- a/crates/front/src/control/discovery_watch.rs
+++ b/crates/front/src/control/discovery_watch.rs
@@ -3,6 +3,7 @@
 
 use super::node_starts::NodeStarts;
 use super::watch_event::{ListedNode, WatchEvent};
+use super::watch_state::{ReportedPurge, WatchPosition};
 use crate::buffer::Buffer;
 use crate::clock::Clock;
 use crate::event_loop::Quantum;
@@ -14,14 +15,15 @@
 use crate::shared::SharedState;
 use crate::sync::lock;
 use crate::watch_history::{ReceivedLine, WatchHistory};
-use fernslip::{CacheId, ObjectId, Phase};
+use fernslip::{CacheId, Phase};
 use may::net::TcpStream;
 use rand::{Rng, SeedableRng};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::{Arc, Mutex, MutexGuard, TryLockError};
 use std::time::{Duration, Instant};
 
 /// The timeout for establishing a connection to the event bus.
@@ -36,6 +38,8 @@
 /// The mean delay between the end of a bus connection and the next attempt to connect; each delay is a random
 /// value from 50 % to 150 % of it.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
+/// The pause of the watch's coroutine while a thread has locked the history.
+const HISTORY_LOCK_PAUSE: Duration = Duration::from_millis(1);
 /// The maximum length in bytes of a line from the bus. The complete endpoint list of the largest deployment
 /// is far shorter.
 const MAX_LINE_BYTES: usize = 4 << 20;
@@ -47,30 +51,39 @@
     RECONNECT_DELAY.mul_f64(rng.random_range(0.5..1.5))
 }
 
-/// Applies an event to the dispatchers and the upstream connections. `since` is the clock time in
-/// milliseconds at which the last line before the event was received, so the event was reported after it;
-/// `None` if no line was received before.
-pub fn apply_event(front: &SharedState, event: WatchEvent, since: Option<f64>) {
+/// Applies an event to the dispatchers and the upstream connections, and records it in the history. `since`
+/// is the clock time in milliseconds at which the last line before the event was received, so the event was
+/// reported after it; `None` if no line was received before.
+pub fn apply_event(front: &SharedState, history: &mut WatchHistory, event: WatchEvent, since: Option<f64>) {
     match event {
         WatchEvent::Unknown => {}
-        WatchEvent::Purge { object, group, unix_ms } => apply_purge(front, object, group, unix_ms, since),
-        // The members come from the site document, so the bus's endpoint lists are ignored.
-        WatchEvent::EndpointList { .. } if front.queues.members_from_file() => {}
+        WatchEvent::Purge { object, group, unix_ms } => {
+            // Before the first line nothing bounds the time of the purge from below; the current time is the
+            // safe choice.
+            let earliest = since.unwrap_or_else(|| front.clock.now());
+            let at_ms = front.wall_clock.to_clock_time(unix_ms, earliest);
+            let purge = ReportedPurge { position: history.position(), object, group, at_ms };
+            apply_purge(front, &purge);
+            history.state().record_purge(purge);
+        }
         WatchEvent::EndpointList { full, nodes } => apply_endpoint_list(front, full, nodes, since),
     }
 }
 
-fn apply_purge(front: &SharedState, object: Option<ObjectId>, group: u64, unix_ms: f64, since: Option<f64>) {
+/// Applies a purge to the dispatchers.
+pub fn apply_purge(front: &SharedState, purge: &ReportedPurge) {
     let now = front.clock.now();
-    // Before the first line nothing bounds the time of the purge from below; the current time is the safe
-    // choice.
-    let at = front.wall_clock.to_clock_time(unix_ms, since.unwrap_or(now));
     for queue in front.queues.as_slice() {
-        queue.dispatcher.purged(now, object, group, now - at);
+        queue.dispatcher.purged(now, purge.object, purge.group, now - purge.at_ms);
     }
 }
 
-fn apply_endpoint_list(front: &SharedState, full: bool, nodes: Vec<ListedNode>, since: Option<f64>) {
+/// Applies an endpoint list to the dispatchers and the upstream connections; see [`apply_event`].
+pub fn apply_endpoint_list(front: &SharedState, full: bool, nodes: Vec<ListedNode>, since: Option<f64>) {
+    // The members come from the site document, so the bus's endpoint lists are ignored.
+    if front.queues.members_from_file() {
+        return;
+    }
     if let Some(gossip) = &front.gossip {
         // Gossip gets start times in Unix time, because all fronts must identify a node by the same start
         // time.
@@ -112,12 +125,13 @@
     match history.receive(line, &front.names)? {
         ReceivedLine::NothingNew => {}
         ReceivedLine::Event(offset, event) => {
-            apply_event(front, event, front.bus.last_line_ms(&front.clock));
-            front.bus.set_applied_offset(offset);
+            apply_event(front, history, event, front.bus.last_line_ms(&front.clock));
+            front.bus.report_change(history.position());
             tracing::info!("bus offset={offset}");
         }
         ReceivedLine::Unreadable(offset, e) => {
             front.bus.unusable_lines.fetch_add(1, Ordering::Relaxed);
+            front.bus.report_change(history.position());
             tracing::warn!("bus: event {offset} cannot be parsed and is skipped: {e}");
         }
     }
@@ -134,10 +148,10 @@
 fn receive_lines(
     front: &SharedState,
     buffer: &mut Buffer,
-    history: &mut WatchHistory,
     scanned: &mut usize,
     quantum: &mut Quantum,
 ) -> Result<bool, Reason> {
+    let mut history = front.bus.lock_history_in_coroutine();
     let mut proves_liveness = false;
     while !quantum.is_used_up() {
         let line_end = buffer.data()[*scanned..].iter().position(|b| *b == b'\n');
@@ -147,7 +161,7 @@
         };
         quantum.count_message();
         let end = *scanned + at;
-        receive_line(front, history, &buffer.data()[..end])?;
+        receive_line(front, &mut history, &buffer.data()[..end])?;
         proves_liveness |= !buffer.data()[..end].iter().all(u8::is_ascii_whitespace);
         buffer.consume(end + 1);
         *scanned = 0;
@@ -178,6 +192,12 @@
 /// connection.
 pub struct DiscoveryWatch {
     state: Mutex<ConnectionState>,
+    /// The events received so far; locked until they are applied, so that they take effect in their order.
+    history: Mutex<WatchHistory>,
+    /// Wakes the thread that stores checkpoints.
+    changes: SyncSender<()>,
+    /// The receiver of `changes`, until that thread takes it.
+    changes_receiver: Mutex<Option<Receiver<()>>>,
     starts: NodeStarts,
     seed: u64,
     /// The memory of received bytes that are not handled yet.
@@ -186,6 +206,8 @@
     unusable_lines: AtomicU64,
     /// The offset of the last event that was applied.
     applied_offset: AtomicU64,
+    /// The number of times that the bus has started its numbering anew.
+    generation: AtomicU64,
 }
 
 /// The bus address and the state of the current connection to it.
@@ -202,10 +224,12 @@
 }
 
 impl DiscoveryWatch {
-    /// Creates a watch on the bus at `addr` (`None` if there is no bus). `seed` varies the reconnection
-    /// delays between fronts. `max_input_bytes` limits the memory of received bytes that are not handled yet.
-    pub fn new(addr: Option<SocketAddr>, seed: u64, max_input_bytes: usize) -> DiscoveryWatch {
+    /// Creates a watch on the bus at `addr` (`None` if there is no bus) that has received the events up to
+    /// `offset`. `seed` varies the reconnection delays between fronts. `max_input_bytes` limits the memory of
+    /// received bytes that are not handled yet.
+    pub fn new(addr: Option<SocketAddr>, offset: u64, seed: u64, max_input_bytes: usize) -> DiscoveryWatch {
         let addr = addr.unwrap_or(([0, 0, 0, 0], 0).into());
+        let (changes, changes_receiver) = sync_channel(1);
         DiscoveryWatch {
             state: Mutex::new(ConnectionState {
                 addr,
@@ -214,22 +238,63 @@
                 last_line: None,
                 silence_timeout: SILENCE_TIMEOUT,
             }),
+            history: Mutex::new(WatchHistory::new(offset)),
+            changes,
+            changes_receiver: Mutex::new(Some(changes_receiver)),
             starts: NodeStarts::default(),
             seed,
             input_memory: Arc::new(MemoryAccount::with_limit(max_input_bytes)),
             unusable_lines: AtomicU64::new(0),
-            applied_offset: AtomicU64::new(0),
+            applied_offset: AtomicU64::new(offset),
+            generation: AtomicU64::new(0),
+        }
+    }
+
+    /// Locks the history of the events, for a thread. Coroutines must not call this, or the worker would wait.
+    pub fn lock_history(&self) -> MutexGuard<'_, WatchHistory> {
+        lock(&self.history)
+    }
+
+    /// Locks the history of the events, for the watch's coroutine: yields while a thread has locked it, so that
+    /// the worker does not wait.
+    fn lock_history_in_coroutine(&self) -> MutexGuard<'_, WatchHistory> {
+        loop {
+            match self.history.try_lock() {
+                Ok(history) => return history,
+                Err(TryLockError::Poisoned(poisoned)) => return poisoned.into_inner(),
+                Err(TryLockError::WouldBlock) => crate::sleep::sleep(HISTORY_LOCK_PAUSE),
+            }
         }
     }
 
-    /// Records the offset of the last event that was applied, for the metrics.
-    pub fn set_applied_offset(&self, offset: u64) {
-        self.applied_offset.store(offset, Ordering::Relaxed);
+    /// The start times of the nodes.
+    pub fn starts(&self) -> &NodeStarts {
+        &self.starts
+    }
+
+    /// Sets the position of the last event that was applied, for the metrics.
+    pub fn set_position(&self, position: WatchPosition) {
+        self.applied_offset.store(position.offset, Ordering::Relaxed);
+        self.generation.store(position.generation, Ordering::Relaxed);
+    }
+
+    /// Reports that the events up to this position are applied. Does not wait.
+    fn report_change(&self, position: WatchPosition) {
+        self.set_position(position);
+        // A full channel has a change that was not noticed yet; one without a receiver is not needed.
+        let _ = self.changes.try_send(());
+    }
+
+    /// Returns the receiver of a message for each change of the history; `None` if it was taken before.
+    pub fn take_changes(&self) -> Option<Receiver<()>> {
+        lock(&self.changes_receiver).take()
     }
 
     /// The watch's metrics, one `name=value` line each.
     pub fn metric_lines(&self) -> String {
-        format!("relay.watch.offset={}\n", self.applied_offset.load(Ordering::Relaxed))
+        let [offset, generation] =
+            [&self.applied_offset, &self.generation].map(|value| value.load(Ordering::Relaxed));
+        format!("relay.watch.offset={offset}\nrelay.watch.generation={generation}\n")
     }
 
     /// The memory of received bytes that are not handled yet.
@@ -263,12 +328,7 @@
     }
 
     /// Connects once and receives events until the connection ends; returns the reason to log for its end.
-    fn watch_one_connection(
-        &self,
-        front: &SharedState,
-        addr: SocketAddr,
-        history: &mut WatchHistory,
-    ) -> Reason {
+    fn watch_one_connection(&self, front: &SharedState, addr: SocketAddr) -> Reason {
         let stream = match connect_to_bus(addr) {
             Ok(stream) => stream,
             Err(reason) => return reason,
@@ -283,10 +343,11 @@
             (state.link, state.last_received) = (link.clone(), Some(Instant::now()));
         }
         link.attach(stream);
-        link.send(format!("from {}\n", history.offset()).into_bytes(), None);
+        let offset = self.lock_history_in_coroutine().offset();
+        link.send(format!("from {offset}\n").into_bytes(), None);
         let (mut scanned, mut has_received) = (0, false);
         let receive = |buffer: &mut Buffer, quantum: &mut Quantum| {
-            if receive_lines(front, buffer, history, &mut scanned, quantum)? {
+            if receive_lines(front, buffer, &mut scanned, quantum)? {
                 let mut state = lock(&self.state);
                 (state.last_received, state.last_line) = (Some(Instant::now()), Some(Instant::now()));
                 state.silence_timeout = SILENCE_TIMEOUT;
@@ -306,19 +367,18 @@
         reason
     }
 
-    /// Watches the bus for as long as the process runs, starting after the last event in `history`.
-    pub fn run(&self, front: &SharedState, mut history: WatchHistory) {
+    /// Watches the bus for as long as the process runs, starting after the last event received.
+    pub fn run(&self, front: &SharedState) {
         for attempt in 0.. {
             let addr = lock(&self.state).addr;
             // A panic ends only this connection, not the watch; without the watch the front would receive no
             // further endpoint changes or purges.
-            let ended =
-                catch_unwind(AssertUnwindSafe(|| self.watch_one_connection(front, addr, &mut history)));
+            let ended = catch_unwind(AssertUnwindSafe(|| self.watch_one_connection(front, addr)));
             let reason = ended.unwrap_or_else(|_| {
                 lock(&self.state).link.terminate();
                 Reason::Panicked
             });
-            let offset = history.offset();
+            let offset = self.lock_history_in_coroutine().offset();
             front.reason_counts.add(EventKind::BusClosed, reason.code());
             let malformed = u64::from(reason == Reason::Malformed);
             let unusable = self.unusable_lines.fetch_add(malformed, Ordering::Relaxed) + malformed;
--- a/crates/front/src/control/manual_exclusion.rs
+++ b/crates/front/src/control/manual_exclusion.rs
@@ -1,10 +1,8 @@
 //! Stores the manual exclusions of cache nodes in a file under `$TMPDIR` for a process that replaces this
 //! one.
 //!
-//! Fronts of several customers may run on one host under the same names and share that folder, so each file
-//! belongs to one deployment: its name ends with a digest of the front's name and address and of the zones,
-//! kinds and classes in its settings. A front whose settings have other zones, kinds or classes starts with
-//! no exclusion.
+//! Each file belongs to one deployment ([`DeploymentFiles`]). A front whose settings have other zones, kinds or
+//! classes starts with no exclusion.
 //!
 //! A file is complete and durable before a command is answered: it is written under a temporary name, synced
 //! and renamed, and the folder is synced.
@@ -21,16 +19,14 @@
 //! exist.
 
 use crate::atomic_file::{write_atomically, Durability, FileVersion};
+use crate::control::deployment_files::DeploymentFiles;
 use crate::failure::retry_with_backoff;
 use crate::file_lock;
 use crate::sync::lock;
-use fernslip::json::Names;
 use fernslip::CacheId;
-use fernslip_view::Id;
 use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{self, ErrorKind};
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
@@ -63,17 +59,6 @@
     known_version: Mutex<Option<FileVersion>>,
 }
 
-/// The digest that identifies a front in a deployment, in hexadecimal.
-fn deployment_digest(name: &str, listen: SocketAddr, names: &Names) -> String {
-    let Names { zones, kinds, classes, .. } = names;
-    format!("{:016x}", Id::from_name(&format!("{:?}", (name, listen, zones, kinds, classes))).0)
-}
-
-/// A front's name with `_` in place of characters that a file name should not have.
-fn file_name_of(name: &str) -> String {
-    name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect()
-}
-
 /// The age above which a partially written file is removed, because its process must have been killed.
 const ABANDONED_AGE: Duration = Duration::from_secs(10);
 
@@ -109,27 +94,19 @@
 }
 
 impl ManualExclusions {
-    /// Determines the files in `folder` for the front with this name and listen address, in the deployment
-    /// with these names of zones, kinds and classes.
-    pub fn for_deployment(folder: &Path, name: &str, listen: SocketAddr, names: &Names) -> ManualExclusions {
-        let deployment = deployment_digest(name, listen, names);
-        let file_name = file_name_of(name);
+    /// Determines the files of a front in its deployment.
+    pub fn for_deployment(files: &DeploymentFiles) -> ManualExclusions {
         ManualExclusions {
-            folder: folder.into(),
-            own_file: folder.join(format!("fernslip-{file_name}-{deployment}.excluded")),
-            shared_file: folder.join(format!("fernslip-{file_name}.excluded")),
-            lock_file: folder.join(format!(".fernslip-{file_name}-{deployment}.lock")),
-            deployment,
+            folder: files.folder().into(),
+            own_file: files.own("excluded"),
+            shared_file: files.shared_by_name("excluded"),
+            lock_file: files.hidden("lock"),
+            deployment: files.digest().into(),
             change_lock: Mutex::default(),
             known_version: Mutex::default(),
         }
     }
 
-    /// The path of the file in which the processes of this front claim the writes that they begin.
-    pub fn write_claims_file(&self) -> PathBuf {
-        self.lock_file.with_extension("writes")
-    }
-
     /// Locks the set that this process has applied; the caller holds the guard from reading the stored set
     /// until that set is applied.
     pub fn lock_for_change(&self) -> MutexGuard<'_, ()> {
--- a/crates/front/src/control/manual_exclusion/tests.rs
+++ b/crates/front/src/control/manual_exclusion/tests.rs
@@ -1,6 +1,7 @@
 //! Unit tests of storing manual exclusions.
 
 use super::*;
+use fernslip::json::Names;
 
 /// A temporary folder that is removed when the test ends.
 struct TempFolder(PathBuf);
@@ -21,7 +22,8 @@
             classes: vec![class.into()],
             reports: Vec::new(),
         };
-        ManualExclusions::for_deployment(&self.0, "n0", ([127, 0, 0, 1], port).into(), &names)
+        let listen = ([127, 0, 0, 1], port).into();
+        ManualExclusions::for_deployment(&DeploymentFiles::new(&self.0, "n0", listen, &names))
     }
 }
 
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -3,7 +3,10 @@
 //! disk.
 
 pub mod admin;
+pub mod checkpoint_file;
+pub mod checkpoint_service;
 pub mod config;
+pub mod deployment_files;
 pub mod discovery_watch;
 pub mod evidence;
 pub mod gossip;
@@ -16,5 +19,7 @@
 pub mod snapshot;
 pub mod standalone;
 pub mod view;
+pub mod watch_checkpoint;
 pub mod watch_event;
 pub mod watch_history;
+pub mod watch_state;
--- a/crates/front/src/control/node_starts.rs
+++ b/crates/front/src/control/node_starts.rs
@@ -47,6 +47,21 @@
         }
     }
 
+    /// The clock time of the start that was reported for a node with this Unix time. `None` if none was.
+    pub fn known_clock_time(&self, id: &CacheId, unix_ms: f64) -> Option<f64> {
+        let starts = lock(&self.0);
+        starts.get(id).filter(|start| start.reported_unix_ms == unix_ms).map(|start| start.clock_ms)
+    }
+
+    /// Adopts the start of a node that another process of this front has converted to clock time. A start that
+    /// was reported to this process too keeps its clock time.
+    pub fn adopt(&self, id: &CacheId, unix_ms: f64, clock_ms: f64) {
+        let mut starts = lock(&self.0);
+        if starts.get(id).is_none_or(|start| start.reported_unix_ms != unix_ms) {
+            starts.insert(id.clone(), NodeStart { reported_unix_ms: unix_ms, clock_ms });
+        }
+    }
+
     /// Drops the start times of unlisted nodes if more than `MAX_RETAINED_STARTS` are retained. Up to that
     /// number they are kept, so that a node that returns with the same reported start time does not count as
     /// restarted.
--- a/crates/front/src/control/watch_event.rs
+++ b/crates/front/src/control/watch_event.rs
@@ -14,7 +14,7 @@
 /// Parsed JSON takes many times the memory of its text.
 const MAX_PARSED_BYTES: usize = 4 * 1024;
 /// Maximum number of entries of an endpoint list: four generations of the 3,200 nodes of the largest fleet.
-const MAX_LISTED_NODES: usize = 4 * 3_200;
+pub const MAX_LISTED_NODES: usize = 4 * 3_200;
 
 /// A cache node as an endpoint-list event lists it.
 #[derive(Clone, Debug)]
@@ -106,7 +106,11 @@
     }
 }
 
-fn parse_endpoint_list(list: &RawValue, names: &Names) -> Result<WatchEvent, JsonError> {
+/// Parses an endpoint list as the bus sends it under `topology`.
+///
+/// # Errors
+/// Returns an error if a required field is missing or has an invalid value, or if the list is too long.
+pub fn parse_endpoint_list(list: &RawValue, names: &Names) -> Result<WatchEvent, JsonError> {
     let not_an_array = || JsonError::Field { key: "servers".into(), problem: "not an array" };
     let list: EndpointListText<'_> = serde_json::from_str(list.get()).map_err(|_| not_an_array())?;
     let servers = list.servers.ok_or_else(not_an_array)?;
--- a/crates/front/src/control/watch_history.rs
+++ b/crates/front/src/control/watch_history.rs
@@ -9,10 +9,11 @@
 //! lost.
 
 use super::watch_event::{self, Line, ListedNode, WatchEvent};
+use super::watch_state::{ReportedPurge, WatchPosition, WatchState};
 use crate::log::Reason;
 use fernslip::json::{JsonError, Names};
 use fernslip::{CacheId, Entry, Phase};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// The number of consecutive last offsets below this front's offset after which the bus counts as renumbered.
 /// A single low offset proves nothing: the bus may have read its last offset just before it sent a newer
@@ -53,11 +54,10 @@
 /// The state of the event stream: the last offset received, and what is needed to detect gaps and
 /// renumbering.
 pub struct WatchHistory {
-    offset: u64,
-    /// The nodes that are draining or have departed, with their reported start times in Unix milliseconds.
-    draining: HashMap<CacheId, f64>,
+    position: WatchPosition,
+    state: WatchState,
     replay: Replay,
-    /// The number of consecutive last offsets from the bus that were below `offset`.
+    /// The number of consecutive last offsets from the bus that were below this front's.
     low_offsets: u32,
     /// The gap whose events were last requested from the bus. `None` once an event has been accepted since.
     requested_gap: Option<OffsetGap>,
@@ -67,8 +67,8 @@
     /// Creates a history in which all events up to `offset` count as received.
     pub fn new(offset: u64) -> WatchHistory {
         WatchHistory {
-            offset,
-            draining: HashMap::new(),
+            position: WatchPosition { generation: 0, offset },
+            state: WatchState::default(),
             replay: Replay::None,
             low_offsets: 0,
             requested_gap: None,
@@ -77,24 +77,46 @@
 
     /// Returns the offset of the last event received; a new connection requests the events after it.
     pub fn offset(&self) -> u64 {
-        self.offset
+        self.position.offset
     }
 
-    /// Records which nodes an event reports as draining or departed; also called for the events known at
-    /// start.
-    pub fn record_draining_nodes(&mut self, event: &WatchEvent) {
-        let WatchEvent::EndpointList { full, nodes } = event else { return };
-        if *full {
-            self.draining.clear();
-        }
-        for ListedNode { entry, .. } in nodes {
-            match entry.phase {
-                Phase::In => drop(self.draining.remove(&entry.cache)),
-                _ => drop(self.draining.insert(entry.cache.clone(), entry.started_ms)),
-            }
+    /// Returns the position of the last event received.
+    pub fn position(&self) -> WatchPosition {
+        self.position
+    }
+
+    /// Returns whether the bus is replaying all events. Until it is done, the state is that of the events
+    /// before, and the position does not belong to it.
+    pub fn is_replaying(&self) -> bool {
+        !matches!(self.replay, Replay::None)
+    }
+
+    /// Returns what the watch has reported so far.
+    pub fn state(&mut self) -> &mut WatchState {
+        &mut self.state
+    }
+
+    /// Records the nodes that an event lists; also called for the events known at start.
+    pub fn record_nodes(&mut self, event: &WatchEvent) {
+        if let WatchEvent::EndpointList { full, nodes } = event {
+            self.state.record_nodes(*full, nodes);
         }
     }
 
+    /// Continues from a later position that another process of this front has reached: with the nodes that it
+    /// knows there, and with those of its purges that are new to this one.
+    pub fn advance_to_other(
+        &mut self,
+        position: WatchPosition,
+        nodes: &[ListedNode],
+        purges: impl IntoIterator<Item = ReportedPurge>,
+    ) {
+        self.position = position;
+        self.state.record_nodes(true, nodes);
+        purges.into_iter().for_each(|purge| self.state.record_purge(purge));
+        (self.replay, self.low_offsets, self.requested_gap) = (Replay::None, 0, None);
+    }
+
     /// Processes one line from the bus, without its line end.
     ///
     /// # Errors
@@ -108,7 +130,7 @@
             Line::LastOffset(last) => return self.receive_last_offset(last),
             Line::Event(offset, event) => (offset, event),
         };
-        if offset <= self.offset {
+        if offset <= self.position.offset {
             return Ok(ReceivedLine::NothingNew);
         }
         let parsed = event.parse(names);
@@ -118,7 +140,7 @@
             Err(e) => return Ok(ReceivedLine::Unreadable(offset, e)),
         };
         let Some(event) = self.collect_replayed_event(event) else { return Ok(ReceivedLine::NothingNew) };
-        self.record_draining_nodes(&event);
+        self.record_nodes(&event);
         Ok(ReceivedLine::Event(offset, event))
     }
 
@@ -132,11 +154,11 @@
     /// Returns [`Reason::MissingEvents`] if the missing events must be requested first.
     fn advance_to(&mut self, offset: u64, parsed: &Result<WatchEvent, JsonError>) -> Result<(), Reason> {
         let is_complete = matches!(parsed, Ok(WatchEvent::EndpointList { full: true, .. }));
-        let gap = OffsetGap { after: self.offset, before: offset };
-        if offset > self.offset + 1 && !is_complete && self.requested_gap.replace(gap) != Some(gap) {
+        let gap = OffsetGap { after: self.offset(), before: offset };
+        if offset > self.offset() + 1 && !is_complete && self.requested_gap.replace(gap) != Some(gap) {
             return Err(Reason::MissingEvents);
         }
-        (self.offset, self.low_offsets, self.requested_gap) = (offset, 0, None);
+        (self.position.offset, self.low_offsets, self.requested_gap) = (offset, 0, None);
         Ok(())
     }
 
@@ -160,15 +182,16 @@
 
     /// Processes the bus's last offset, which the bus sends each second.
     fn receive_last_offset(&mut self, last: u64) -> Result<ReceivedLine, Reason> {
-        if last > self.offset {
+        if last > self.offset() {
             return Err(Reason::MissingEvents);
         }
-        self.low_offsets = if last < self.offset { self.low_offsets + 1 } else { 0 };
+        self.low_offsets = if last < self.offset() { self.low_offsets + 1 } else { 0 };
         if self.low_offsets >= LOW_OFFSETS_BEFORE_REPLAY {
-            (self.offset, self.low_offsets, self.replay) = (0, 0, Replay::AwaitingList);
+            self.position = WatchPosition { generation: self.position.generation + 1, offset: 0 };
+            (self.low_offsets, self.replay) = (0, Replay::AwaitingList);
             return Err(Reason::Renumbered);
         }
-        if last < self.offset {
+        if last < self.offset() {
             return Ok(ReceivedLine::NothingNew);
         }
         // The bus's last offset is reached, so a replay in progress is complete.
@@ -176,15 +199,16 @@
             return Ok(ReceivedLine::NothingNew);
         };
         let event = self.endpoint_list_from_replay(collected);
-        self.record_draining_nodes(&event);
-        Ok(ReceivedLine::Event(self.offset, event))
+        self.record_nodes(&event);
+        Ok(ReceivedLine::Event(self.offset(), event))
     }
 
     /// Builds the complete endpoint list from a replay. Nodes known to be draining stay draining unless they
     /// have restarted.
     fn endpoint_list_from_replay(&self, collected: BTreeMap<CacheId, ListedNode>) -> WatchEvent {
-        let still_drains =
-            |e: &Entry| self.draining.get(&e.cache).is_some_and(|started| *started >= e.started_ms);
+        let still_drains = |e: &Entry| {
+            self.state.out_of_service_start_ms(&e.cache).is_some_and(|started| started >= e.started_ms)
+        };
         let present = collected.into_values().filter(|n| n.entry.phase != Phase::Out);
         let nodes = present.map(|ListedNode { entry, addr }| {
             let drains = entry.phase == Phase::In && still_drains(&entry);
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -1,6 +1,7 @@
 //! The state that all parts of a running front share.
 
 use crate::clock::Clock;
+use crate::control::checkpoint_file::CheckpointFile;
 use crate::discovery_watch::DiscoveryWatch;
 use crate::gossip::GossipService;
 use crate::invariants::Invariants;
@@ -47,6 +48,9 @@
     pub peers: Option<Arc<Peers>>,
     /// The watch on the event bus, which delivers endpoint updates and purges.
     pub bus: DiscoveryWatch,
+    /// The file in which the watch's checkpoints are stored for a process that replaces this one. `None` if
+    /// there is no event bus.
+    pub checkpoint_file: Option<CheckpointFile>,
     /// Whether an endpoint list was received.
     pub endpoints_listed: AtomicBool,
     /// Whether SIGTERM was received.
--- a/crates/front/src/startup.rs
+++ b/crates/front/src/startup.rs
@@ -6,7 +6,11 @@
 
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::control::checkpoint_file::CheckpointFile;
+use crate::control::checkpoint_service::{self, CheckpointSettings};
+use crate::control::deployment_files::DeploymentFiles;
 use crate::control::evidence::EvidenceQueue;
+use crate::control::watch_checkpoint::CheckpointIdentity;
 use crate::control::watch_event;
 use crate::discovery_watch::{self, DiscoveryWatch};
 use crate::dispatch_host::DispatchHost;
@@ -37,7 +41,6 @@
 use crate::upstream::write_claims::WriteClaims;
 use crate::view::ViewService;
 use crate::wall_clock::WallClock;
-use crate::watch_history::WatchHistory;
 use crate::{admin, gossip, listen, sleep, view};
 use fernslip::facade::EndpointCounts;
 use std::net::SocketAddr;
@@ -80,12 +83,13 @@
     let gossip_from_view = gossip.as_ref().is_some_and(|g| g.from_view);
     let gossip = gossip.map(|g| open_gossip(&g, &config, &core)).transpose()?;
     let fleet = view.map(|v| open_view(&v, &config, &core.clock, gossip.as_deref())).transpose()?;
-    let serving = ServingConfig::take(&mut config, gossip_from_view);
-    let front = build_shared_state(config, plan, core, PeerServices { peers, gossip, fleet }, origin)?;
+    let serving = ServingConfig::take(&mut config, gossip_from_view, origin);
+    let peer_services = PeerServices { peers, gossip, fleet };
+    let front = build_shared_state(config, &serving, plan, core, peer_services)?;
     admin::restore_manual_exclusions(&front);
     checks.exclusions_restored = true;
-    let history = load_known_endpoints(&front, &serving);
-    spawn_services(&front, &serving, history)?;
+    load_known_endpoints(&front, &serving);
+    spawn_services(&front, &serving)?;
     if origin == Origin::Inherited {
         tracing::info!(
             "clients are accepted on the socket handed over in {}",
@@ -223,9 +227,7 @@
 struct ServingConfig {
     /// The front's name.
     name: String,
-    /// The bus offset of the last event that the configuration contains.
-    offset: u64,
-    /// The bus events up to `offset` that the configuration contains.
+    /// The bus events that the configuration contains.
     known_events: Vec<serde_json::Value>,
     has_bus: bool,
     /// The address of the admin interface, used where `$RELAY_OPS` names none; `None` for no interface.
@@ -236,19 +238,28 @@
     gossip_from_view: bool,
     /// The longest deadline of any request class, in milliseconds.
     longest_deadline_ms: f64,
+    /// Whether the clients' socket was bound by this process or inherited.
+    origin: Origin,
+    checkpoints: CheckpointSettings,
 }
 
 impl ServingConfig {
-    fn take(config: &mut Config, gossip_from_view: bool) -> ServingConfig {
+    fn take(config: &mut Config, gossip_from_view: bool, origin: Origin) -> ServingConfig {
+        let settings = &config.settings;
         ServingConfig {
             name: config.name.clone(),
-            offset: config.known_offset,
             known_events: std::mem::take(&mut config.known_events),
             has_bus: config.bus.is_some(),
             admin: config.admin_listen,
             admin_callers: config.budget.callers,
             gossip_from_view,
-            longest_deadline_ms: config.settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max),
+            longest_deadline_ms: settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max),
+            origin,
+            checkpoints: CheckpointSettings {
+                slow_start_ms: settings.slow_start_ms.max(settings.parent_slow_start_ms),
+                purge_retention_ms: settings.purge_retention_ms(),
+                follows: origin == Origin::Inherited,
+            },
         }
     }
 }
@@ -263,10 +274,10 @@
 /// Builds the shared state of the front.
 fn build_shared_state(
     config: Config,
+    serving: &ServingConfig,
     plan: Option<Plan>,
     core: CoreComponents,
     services: PeerServices,
-    origin: Origin,
 ) -> Result<Arc<SharedState>, StartError> {
     let CoreComponents { clock, invariants, reason_counts, upstream, evidence } = core;
     let PeerServices { peers, gossip, fleet } = services;
@@ -280,11 +291,11 @@
         evidence: evidence.clone(),
         sources: [config.settings.parent_kind, config.settings.origin_kind],
     };
-    let folder = std::env::temp_dir();
-    let manual_exclusions =
-        ManualExclusions::for_deployment(&folder, &config.name, config.listen, &config.names);
+    let files = DeploymentFiles::new(&std::env::temp_dir(), &config.name, config.listen, &config.names);
     // Another process of this front can run at the same time only on a socket that the platform passes to both.
-    let shared_claims = (origin == Origin::Inherited).then(|| manual_exclusions.write_claims_file());
+    let shared_claims = (serving.origin == Origin::Inherited).then(|| files.hidden("writes"));
+    let identity = CheckpointIdentity::new(files.digest(), config.seed, serving.known_events.first());
+    let checkpoint_file = serving.has_bus.then(|| CheckpointFile::new(&files, identity));
     let classes = config.settings.classes.clone();
     let class_names = classes.iter().map(|c| c.name.to_string()).collect();
     let queues = DispatchQueues::new(&config.settings, config.seed, plan, registry.clone(), host);
@@ -299,7 +310,8 @@
         upstream,
         server: Server::new(config.budget, classes),
         peers,
-        bus: DiscoveryWatch::new(config.bus, config.seed, config.budget.bus_input),
+        bus: DiscoveryWatch::new(config.bus, config.known_offset, config.seed, config.budget.bus_input),
+        checkpoint_file,
         endpoints_listed: AtomicBool::new(false),
         shutting_down: AtomicBool::new(false),
         metrics: Metrics::new(class_names),
@@ -308,13 +320,13 @@
         invariants,
         drain_grace_ms: config.settings.drain_grace_ms,
         write_claims: WriteClaims::new(shared_claims),
-        manual_exclusions,
+        manual_exclusions: ManualExclusions::for_deployment(&files),
     }))
 }
 
-/// Registers the endpoints that the site document and the configuration list. Returns the history of bus
-/// events up to the last one in the configuration.
-fn load_known_endpoints(front: &SharedState, serving: &ServingConfig) -> WatchHistory {
+/// Registers the endpoints that the site document lists, and those that the checkpoint of an earlier process or
+/// else the configuration lists.
+fn load_known_endpoints(front: &SharedState, serving: &ServingConfig) {
     front.queues.apply_initial_members(&front.clock, &front.upstream);
     front.announce_members();
     if front.gossip.is_some() {
@@ -323,35 +335,39 @@
     if front.queues.members_from_file() {
         front.endpoints_listed.store(true, Ordering::Release);
     }
-    let mut history = WatchHistory::new(serving.offset);
-    for event in &serving.known_events {
+    let restored =
+        front.checkpoint_file.as_ref().is_some_and(|file| checkpoint_service::restore(front, file));
+    if !restored {
+        apply_known_events(front, &serving.known_events);
+    }
+    log_endpoints_at_start(front);
+}
+
+/// Applies the bus events that the configuration contains.
+fn apply_known_events(front: &SharedState, events: &[serde_json::Value]) {
+    let mut history = front.bus.lock_history();
+    for event in events {
         match watch_event::parse_event(event, &front.names) {
             Ok(event) => {
-                history.record_draining_nodes(&event);
-                discovery_watch::apply_event(front, event, None);
+                history.record_nodes(&event);
+                discovery_watch::apply_event(front, &mut history, event, None);
             }
             Err(e) => tracing::warn!("ignoring an event in the configuration's `known` list: {e}"),
         }
     }
-    front.bus.set_applied_offset(history.offset());
-    log_endpoints_at_start(front, history.offset());
-    history
 }
 
 /// Logs what the front starts with, so that a node which is used although it drains can be traced to the
 /// list that the process started from or to a later event.
-fn log_endpoints_at_start(front: &SharedState, offset: u64) {
+fn log_endpoints_at_start(front: &SharedState) {
+    let offset = front.bus.lock_history().offset();
     let counts = front.queues.as_slice().first().map(|queue| queue.dispatcher.endpoint_counts());
     let EndpointCounts { listed, draining } = counts.unwrap_or_default();
     tracing::info!(listed, draining, offset, "endpoints at start");
 }
 
 /// Starts the coroutines and threads that communicate with other fronts and with the event bus.
-fn spawn_services(
-    front: &Arc<SharedState>,
-    serving: &ServingConfig,
-    history: WatchHistory,
-) -> Result<(), StartError> {
+fn spawn_services(front: &Arc<SharedState>, serving: &ServingConfig) -> Result<(), StartError> {
     if let Some(gossip) = front.gossip.clone() {
         let (listening, f) = (gossip.clone(), front.clone());
         spawn(move || listening.listen(f.queues.as_slice()));
@@ -363,7 +379,8 @@
     }
     if serving.has_bus {
         let f = front.clone();
-        spawn_with_deep_stack(move || f.bus.run(&f, history));
+        spawn_with_deep_stack(move || f.bus.run(&f));
+        checkpoint_service::spawn(front.clone(), serving.checkpoints).map_err(StartError::Thread)?;
     }
     if let Some(peers) = front.peers.clone() {
         let f = front.clone();
