Test: replacements with purges, faults of the disk and the record, and new numberings

Change: seven tests from outside in replacement.rs: news that only the old process receives, purges (also with a wall clock that is stepped between two processes), damaged and foreign checkpoints, one older than the configuration, a failing disk, ten replacements in a row, a bus that numbers anew. The front under test has a file of its own.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
 pub mod event_bus;
+pub mod replaceable;
 pub mod scripted;
 
 use rmpv::Value;
--- a/crates/cli/tests/common/scripted.rs
+++ b/crates/cli/tests/common/scripted.rs
@@ -177,6 +177,8 @@
     pub child: Child,
     pub file: PathBuf,
     lines: Receiver<String>,
+    /// The log lines read so far.
+    pub log_lines: Vec<String>,
     pub addr: String,
     pub servers: BTreeMap<&'static str, ScriptedServer>,
     pub peer: UdpSocket,
@@ -254,6 +256,7 @@
             child,
             file,
             lines,
+            log_lines: Vec::new(),
             addr: String::new(),
             servers,
             peer,
@@ -272,6 +275,7 @@
                 .lines
                 .recv_timeout(deadline.saturating_duration_since(Instant::now()))
                 .unwrap_or_else(|e| panic!("no log line contains {text:?}: {e}"));
+            self.log_lines.push(line.clone());
             if line.contains(text) {
                 return line;
             }
--- a/crates/cli/tests/replacement.rs
+++ b/crates/cli/tests/replacement.rs
@@ -5,165 +5,19 @@
 
 mod common;
 
-use command_fds::{CommandFdExt, FdMapping};
-use common::event_bus::{EventBus, Reachable};
-use common::scripted::{encode_call, read_answer, test_configuration, ScriptedFront};
-use common::{wait_until, Node};
-use serde_json::{json, Value as Json};
-use std::collections::BTreeMap;
-use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::OwnedFd;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
-use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use common::event_bus::Reachable;
+use common::replaceable::Deployment;
+use common::scripted::ScriptedFront;
+use common::{send_admin_command, wait_until};
+use fernslip_rig::shim::{MachineFault, Shim};
+use serde_json::json;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// A class of the example configuration whose calls are reads.
-const READ_CLASS: &str = "account-pages";
 /// Time after a front was told that a node drains in which requests may still reach it, with what sockets add.
 const DRAIN_GRACE: Duration = Duration::from_millis(550);
 /// How long the tests watch a node that must get no requests.
 const WATCH_TIME: Duration = Duration::from_millis(1500);
-/// The number of clients that send one call after another.
-const CLIENTS: u64 = 4;
-/// The pause of a client between two calls.
-const CLIENT_PAUSE: Duration = Duration::from_millis(5);
-/// The number of requests after which a node counts as in use.
-const IN_USE: usize = 10;
-
-/// The nodes of the deployment: id, zone and kind.
-const NODES: [(&str, &str, &str); 7] = [
-    ("c1", "edge-1", "standard"),
-    ("c2", "edge-1", "standard"),
-    ("c3", "edge-1", "standard"),
-    ("c4", "edge-1", "standard"),
-    ("p1", "north", "parent"),
-    ("p2", "north", "parent"),
-    ("o1", "north", "origin"),
-];
-
-/// A front whose process can be replaced, with its cache nodes, its event bus and its clients' socket.
-struct Deployment {
-    nodes: BTreeMap<&'static str, Node>,
-    bus: EventBus,
-    socket: TcpListener,
-    folder: tempfile::TempDir,
-    configuration: Json,
-    /// The number of processes started so far.
-    started: AtomicU64,
-}
-
-impl Deployment {
-    fn new(name: &str) -> Deployment {
-        let nodes: BTreeMap<_, _> = NODES.iter().map(|(id, ..)| (*id, Node::start())).collect();
-        let bus = EventBus::start(1);
-        let socket = TcpListener::bind("127.0.0.1:0").expect("a loopback port can be bound");
-        let folder = tempfile::tempdir().expect("a temporary folder can be created");
-        let mut deployment =
-            Deployment { nodes, bus, socket, folder, configuration: Json::Null, started: AtomicU64::new(0) };
-        let unused: SocketAddr = ([127, 0, 0, 1], 1).into();
-        let servers =
-            ["a", "b", "bus"].into_iter().map(|server| (server, common::scripted::ScriptedServer::new()));
-        let mut configuration = test_configuration(&servers.collect(), unused);
-        let listed: Vec<Json> = NODES.iter().map(|(id, ..)| deployment.entry(id, "Ready", 0)).collect();
-        configuration["name"] = name.into();
-        configuration["listen"] = deployment.client_address().into();
-        configuration["bus"] = deployment.bus.addr.to_string().into();
-        configuration["settings"]["permissions"]["peers"] = false.into();
-        configuration["known"]["batch"] =
-            json!([{"offset": 1, "topology": {"version": 1, "full": true, "servers": listed}}]);
-        deployment.configuration = configuration;
-        deployment
-    }
-
-    fn client_address(&self) -> String {
-        self.socket.local_addr().expect("the socket is bound").to_string()
-    }
-
-    /// The entry of a node in an endpoint list.
-    fn entry(&self, id: &str, state: &str, started_ms: u64) -> Json {
-        let (_, zone, kind) = NODES.iter().find(|(known, ..)| *known == id).expect("the node is known");
-        json!({"id": id, "addr": self.nodes[id].addr.to_string(), "zone": zone, "kind": kind, "cell": 0,
-               "state": state, "weight": 1, "started_ms": started_ms})
-    }
-
-    /// Starts a process on the clients' socket, with the configuration and the folder of all processes.
-    fn start_process(&self) -> ScriptedFront {
-        let number = self.started.fetch_add(1, Ordering::SeqCst);
-        let name = format!("{}-{number}", self.configuration["name"].as_str().expect("the name is text"));
-        let fd = OwnedFd::from(self.socket.try_clone().expect("the socket can be duplicated"));
-        let change = |c: &mut Json| *c = self.configuration.clone();
-        ScriptedFront::start_prepared(&name, Vec::new(), change, |command| {
-            command
-                .env("TMPDIR", self.folder.path())
-                .env("RELAY_OPS", "127.0.0.1:0")
-                .env("RELAY_PASSED_SOCKET", "3")
-                .fd_mappings(vec![FdMapping { parent_fd: fd, child_fd: 3 }])
-                .expect("the socket can be mapped to descriptor 3");
-        })
-    }
-
-    /// Publishes the states of nodes on the event bus, and returns the time.
-    fn publish_states(&self, states: &[(&str, &str)]) -> Instant {
-        let entries: Vec<Json> = states.iter().map(|(id, state)| self.entry(id, state, 0)).collect();
-        let list = json!({"version": 2, "full": false, "servers": entries});
-        self.bus.publish(&format!("\"topology\":{list}"))
-    }
-
-    /// The requests that any node received after `at` and that were sent to this node or filled from it.
-    fn requests_for(&self, id: &str, at: Instant) -> usize {
-        let filled = self.nodes.values().flat_map(|node| node.requests_after(at));
-        let filled = filled.filter(|request| request.fields.get("via").is_some_and(|via| via == id)).count();
-        self.nodes[id].requests_after(at).len() + filled
-    }
-
-    /// Waits until a node gets requests.
-    fn wait_until_used(&self, id: &str) {
-        let since = Instant::now();
-        wait_until(&format!("node {id} gets requests"), || self.requests_for(id, since) >= IN_USE);
-    }
-
-    fn start_clients(&self) -> Clients {
-        let stop = Arc::new(AtomicBool::new(false));
-        let threads = (0..CLIENTS).map(|_| {
-            let (stop, addr) = (stop.clone(), self.client_address());
-            std::thread::spawn(move || {
-                while !stop.load(Ordering::SeqCst) {
-                    let _ = call_once(&addr);
-                    std::thread::sleep(CLIENT_PAUSE);
-                }
-            })
-        });
-        Clients { threads: threads.collect(), stop }
-    }
-}
-
-/// Clients that send calls for new objects, each on a new connection, until this is dropped.
-struct Clients {
-    stop: Arc<AtomicBool>,
-    threads: Vec<JoinHandle<()>>,
-}
-
-impl Drop for Clients {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::SeqCst);
-        self.threads.drain(..).for_each(|thread| drop(thread.join()));
-    }
-}
-
-/// The number of the next call of any client, which is its trace and its object.
-static NEXT_CALL: AtomicU64 = AtomicU64::new(1);
-
-/// Sends one call on a new connection and waits for its answer.
-fn call_once(addr: &str) -> std::io::Result<String> {
-    let number = NEXT_CALL.fetch_add(1, Ordering::SeqCst);
-    let mut client = TcpStream::connect(addr)?;
-    client.set_read_timeout(Some(Duration::from_secs(2)))?;
-    let object = format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-    client.write_all(&encode_call(1, READ_CLASS, number, 1500, &[("entity", &object)]))?;
-    Ok(read_answer(&mut client))
-}
 
 /// When the old process ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -256,3 +110,245 @@
         plays.into_iter().map(|(name, play)| (name, play.join().expect("the play ends"))).collect();
     assert!(late.iter().all(|(_, late)| *late == 0), "late requests: {late:?}");
 }
+
+/// The old process alone reaches the bus. What it is told after the new process has started takes effect in
+/// both, a drain as well as its end.
+#[test]
+fn an_event_that_only_the_old_process_receives_takes_effect_in_both() {
+    let deployment = Deployment::new("old-only");
+    let mut old = deployment.start_process();
+    let _clients = deployment.start_clients();
+    deployment.bus.set_reachable(Reachable::ConnectedFronts);
+    let mut new = deployment.start_process();
+    deployment.wait_until_used("c1");
+    let told = deployment.publish_states(&[("c1", "Terminating"), ("p1", "Gone")]);
+    new.wait_for_log("applied the checkpoint of another process");
+    std::thread::sleep(WATCH_TIME);
+    let late = ["c1", "p1"].map(|id| deployment.requests_for(id, told + DRAIN_GRACE));
+    assert_eq!(late, [0, 0], "late requests while both processes run");
+    deployment.publish_states(&[("c1", "Ready")]);
+    new.wait_for_log("applied the checkpoint of another process");
+    old.signal("TERM");
+    let _ = old.child.wait();
+    deployment.wait_until_used("c1");
+    assert_eq!(deployment.requests_for("p1", told + DRAIN_GRACE), 0, "late requests at the new process");
+}
+
+/// A purge that only the old process was told limits the age of copies at the processes that replace it, also
+/// if the wall clock is stepped between two processes.
+#[test]
+fn a_purge_that_the_old_process_was_told_limits_the_age_of_copies() {
+    const HOUR_NS: i64 = 3_600_000_000_000;
+    let (purged, in_group, other) = ("00000000000000a1", "00000000000000a2", "00000000000000a3");
+    let shim = Shim::build().expect("the shim can be built with a C compiler");
+    for (name, steps_ns) in
+        [("same-clock", [0, 0]), ("clock-forward", [HOUR_NS, 0]), ("clock-back", [-HOUR_NS, HOUR_NS])]
+    {
+        let deployment = Deployment::new(name);
+        let mut process = deployment.start_process();
+        assert!(!deployment.fields_of_call(purged, "1").contains_key("fresh"), "any copy is good at first");
+        let unix_ms =
+            SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is past 1970").as_millis();
+        let told = Instant::now();
+        deployment.bus.publish(&format!("\"ban\":{}", json!({"url": purged, "ts": unix_ms})));
+        deployment.bus.publish(&format!("\"ban\":{}", json!({"tag": 17, "ts": unix_ms})));
+        process.wait_for_log("bus offset=3");
+        deployment.bus.set_reachable(Reachable::Nobody);
+        for (number, step_ns) in steps_ns.into_iter().enumerate() {
+            let faults =
+                shim.create_fault_settings(&format!("{name}{number}"), 1).expect("a file can be created");
+            faults.set_fault(MachineFault::WallOffsetNs, step_ns).expect("the fault can be set");
+            let new = deployment.start_process_with(&faults.environment_variables());
+            process.signal("TERM");
+            let _ = std::mem::replace(&mut process, new).child.wait();
+            std::thread::sleep(Duration::from_millis(300));
+            for (object, group) in [(purged, "1"), (in_group, "17")] {
+                let fields = deployment.fields_of_call(object, group);
+                let oldest =
+                    fields.get("fresh").map(|text| text.parse::<u128>().expect("an age is a number"));
+                let limit = told.elapsed().as_millis();
+                assert!(
+                    oldest.is_some_and(|oldest| oldest <= limit),
+                    "{name}, replacement {number}, {object}: copies of {oldest:?} ms, purged {limit} ms ago"
+                );
+            }
+            assert!(
+                !deployment.fields_of_call(other, "1").contains_key("fresh"),
+                "any copy of others is good"
+            );
+        }
+    }
+}
+
+/// A checkpoint that does not fit is refused, and the front starts from its configuration: the node that the
+/// bus had set to draining is in use until the bus tells it again.
+#[test]
+fn an_unusable_checkpoint_is_refused_and_the_front_starts_from_its_configuration() {
+    type Damage = fn(&[u8]) -> Vec<u8>;
+    let rows: [(&str, Damage, &str); 5] = [
+        ("empty", |_| Vec::new(), "line 1 is not"),
+        ("garbage", |bytes| vec![0xa5; bytes.len()], "line 1 is not"),
+        ("half", |bytes| bytes[..bytes.len() / 2].to_vec(), "bytes; line 1 says"),
+        ("later", |bytes| [b"fernslip watch 2", &bytes[16..]].concat(), "format version 2"),
+        (
+            "flipped",
+            |bytes| [&bytes[..bytes.len() - 9], b"x", &bytes[bytes.len() - 8..]].concat(),
+            "checksum",
+        ),
+    ];
+    let plays = rows.map(|(name, damage, reason)| {
+        std::thread::spawn(move || {
+            let deployment = Deployment::new(name);
+            let mut old = deployment.start_process();
+            let _clients = deployment.start_clients();
+            deployment.publish_states(&[("c1", "Terminating")]);
+            old.wait_for_log("bus offset=2");
+            wait_until("a checkpoint is stored", || stored_checkpoints(&old) > 0);
+            let path = deployment.checkpoint_path();
+            let bytes = std::fs::read(&path).expect("the checkpoint can be read");
+            deployment.bus.set_reachable(Reachable::Nobody);
+            old.signal("KILL");
+            let _ = old.child.wait();
+            std::fs::write(&path, damage(&bytes)).expect("the checkpoint can be written");
+            let new = deployment.start_process();
+            let refusal = new.log_lines.iter().find(|line| line.contains("checkpoint refused"));
+            let refusal = refusal.unwrap_or_else(|| panic!("{name}: a refusal in {:?}", new.log_lines));
+            assert!(refusal.contains(".watch: ") && refusal.contains(reason), "{name}: {refusal}");
+            deployment.wait_until_used("c1");
+            deployment.bus.set_reachable(Reachable::Everyone);
+            wait_until("the bus tells the drain again", || {
+                telemetry(&new).contains("relay.cluster_unhealthy=1\n") && stored_checkpoints(&new) > 0
+            });
+            assert!(std::fs::read(&path)
+                .expect("the checkpoint can be read")
+                .starts_with(b"fernslip watch 1 "));
+        })
+    });
+    plays.into_iter().for_each(|play| play.join().expect("the play ends"));
+}
+
+/// The metrics of a process.
+fn telemetry(process: &ScriptedFront) -> String {
+    send_admin_command(&admin_address(process), "telemetry\n")
+}
+
+/// The address of a process's admin interface, from its log.
+fn admin_address(process: &ScriptedFront) -> String {
+    let line = process.log_lines.iter().find(|line| line.contains("operators' door at "));
+    let line = line.expect("the front logs the address of its admin interface");
+    line.rsplit(' ').next().expect("the line ends with an address").trim_matches('"').to_string()
+}
+
+/// The number of checkpoints that a process has stored.
+fn stored_checkpoints(process: &ScriptedFront) -> u64 {
+    let metrics = telemetry(process);
+    let value = metrics.lines().find_map(|line| line.strip_prefix("relay.checkpoint.stored="));
+    value.expect("the metric is there").parse().expect("the metric is a number")
+}
+
+/// A front that starts from nothing has a new seed and a bus that numbers from 1, and a newer configuration
+/// contains what a checkpoint contains. Neither may take the node out of use that an old checkpoint drains.
+#[test]
+fn a_checkpoint_of_an_earlier_start_or_older_than_the_configuration_is_not_used() {
+    for name in ["new-seed", "newer-configuration"] {
+        let mut deployment = Deployment::new(name);
+        let mut old = deployment.start_process();
+        let _clients = deployment.start_clients();
+        deployment.publish_states(&[("c1", "Terminating")]);
+        old.wait_for_log("bus offset=2");
+        wait_until("a checkpoint is stored", || stored_checkpoints(&old) > 0);
+        deployment.bus.set_reachable(Reachable::Nobody);
+        old.signal("KILL");
+        let _ = old.child.wait();
+        if name == "new-seed" {
+            deployment.configuration["seed"] = "8c1f30d27a5be965".into();
+        } else {
+            let ready = json!({"offset": 3, "topology": {"servers": [deployment.entry("c1", "Ready", 0)]}});
+            let known = &mut deployment.configuration["known"];
+            known["batch"].as_array_mut().expect("the events are an array").push(ready);
+            known["offset"] = 3.into();
+        }
+        let _new = deployment.start_process();
+        deployment.wait_until_used("c1");
+    }
+}
+
+/// The disk fails throughout: calls are served and drains apply, and once it works the next process is handed
+/// what the front was told meanwhile.
+#[test]
+fn a_failing_disk_costs_no_call_and_the_checkpoint_is_stored_later() {
+    let shim = Shim::build().expect("the shim can be built with a C compiler");
+    let faults = shim.create_fault_settings("watch-disk", 1).expect("a file can be created");
+    let deployment = Deployment::new("watch-disk");
+    let mut old = deployment.start_process_with(&faults.environment_variables());
+    let clients = deployment.start_clients();
+    deployment.wait_until_used("c1");
+    faults.set_fault(MachineFault::Disk, 1000).expect("the fault can be set");
+    let told = deployment.publish_states(&[("c1", "Terminating")]);
+    old.wait_for_log("no checkpoint is stored in ");
+    std::thread::sleep(WATCH_TIME);
+    assert_eq!(deployment.requests_for("c1", told + DRAIN_GRACE), 0, "late requests while the disk fails");
+    assert_eq!(stored_checkpoints(&old), 0);
+    faults.clear_rates().expect("the faults can be cleared");
+    wait_until("a checkpoint is stored", || stored_checkpoints(&old) > 0);
+    assert_eq!(clients.counts.other.load(Ordering::SeqCst), 0, "calls that were not served");
+    deployment.bus.set_reachable(Reachable::Nobody);
+    let _new = replace(&deployment, old, OldProcess::KilledAfterwards);
+    std::thread::sleep(WATCH_TIME);
+    assert_eq!(deployment.requests_for("c1", told + DRAIN_GRACE), 0, "late requests at the new process");
+}
+
+/// The process is replaced ten times, with the bus up and down in turns. Drained, departed and excluded nodes
+/// stay out, and a node that is ready again is used.
+#[test]
+fn ten_replacements_in_a_row_lose_nothing() {
+    let deployment = Deployment::new("ten");
+    let mut process = deployment.start_process();
+    let _clients = deployment.start_clients();
+    ["c1", "c2", "p1"].into_iter().for_each(|id| deployment.wait_until_used(id));
+    assert_eq!(send_admin_command(&admin_address(&process), "exclude c2\n"), "200 excluded c2\n");
+    let told = deployment.publish_states(&[("c1", "Terminating"), ("p1", "Gone")]);
+    process.wait_for_log("bus offset=2");
+    for number in 0..10 {
+        let reachable = if number % 2 == 0 { Reachable::Nobody } else { Reachable::Everyone };
+        deployment.bus.set_reachable(reachable);
+        process = replace(&deployment, process, OldProcess::Terminated);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    std::thread::sleep(WATCH_TIME);
+    let late = ["c1", "c2", "p1"].map(|id| deployment.requests_for(id, told + DRAIN_GRACE));
+    assert_eq!(late, [0; 3], "late requests at c1, c2 and p1");
+    deployment.publish_states(&[("c1", "Ready"), ("p1", "Ready")]);
+    ["c1", "p1"].into_iter().for_each(|id| deployment.wait_until_used(id));
+}
+
+/// After the replacement the bus comes back without its state and numbers from 1. The front follows it, and a
+/// node that is ready there after a drain is used.
+#[test]
+fn a_bus_that_numbers_anew_is_followed_after_a_replacement() {
+    let deployment = Deployment::new("renumbered");
+    let mut old = deployment.start_process();
+    let _clients = deployment.start_clients();
+    for state in ["Terminating", "Ready", "Terminating"] {
+        deployment.publish_states(&[("c1", state)]);
+    }
+    old.wait_for_log("bus offset=4");
+    deployment.bus.set_reachable(Reachable::Nobody);
+    let new = replace(&deployment, old, OldProcess::KilledAfterwards);
+    let list = deployment.configuration["known"]["batch"][0]["topology"].clone();
+    deployment.bus.restart_numbering(&[format!("\"topology\":{list}")]);
+    deployment.bus.set_reachable(Reachable::Everyone);
+    wait_until("the front follows the new numbering", || {
+        telemetry(&new).contains("relay.watch.generation=1\n")
+    });
+    deployment.publish_states(&[("c1", "Ready"), ("c2", "Terminating")]);
+    deployment.wait_until_used("c1");
+    wait_until("c2 is draining", || telemetry(&new).contains("relay.cluster_unhealthy=1\n"));
+    // The numbering is lower than the one before; the next process still continues from it.
+    deployment.bus.set_reachable(Reachable::Nobody);
+    let drained = Instant::now();
+    let next = replace(&deployment, new, OldProcess::KilledAfterwards);
+    assert!(telemetry(&next).contains("relay.watch.generation=1\n"));
+    deployment.wait_until_used("c1");
+    assert_eq!(deployment.requests_for("c2", drained + DRAIN_GRACE), 0, "late requests at c2");
+}
