Front: a checkpoint waits for the other process's lock instead of a second

Change: storing is retried for 0.5 s while the file is locked, as a command is. Two tests: this, and slow start over a replacement, also with a stepped wall clock.

The test now waits for an event first; what it asks is as before.

--- a/crates/cli/tests/replacement.rs
+++ b/crates/cli/tests/replacement.rs
@@ -16,6 +16,8 @@
 
 /// Time after a front was told that a node drains in which requests may still reach it, with what sockets add.
 const DRAIN_GRACE: Duration = Duration::from_millis(550);
+/// A step of the wall clock, in nanoseconds.
+const HOUR_NS: i64 = 3_600_000_000_000;
 /// How long the tests watch a node that must get no requests.
 const WATCH_TIME: Duration = Duration::from_millis(1500);
 
@@ -118,6 +120,9 @@
     let deployment = Deployment::new("old-only");
     let mut old = deployment.start_process();
     let _clients = deployment.start_clients();
+    // An event shows that the old process is connected.
+    deployment.publish_states(&[("c4", "Ready")]);
+    old.wait_for_log("bus offset=2");
     deployment.bus.set_reachable(Reachable::ConnectedFronts);
     let mut new = deployment.start_process();
     deployment.wait_until_used("c1");
@@ -138,7 +143,6 @@
 /// if the wall clock is stepped between two processes.
 #[test]
 fn a_purge_that_the_old_process_was_told_limits_the_age_of_copies() {
-    const HOUR_NS: i64 = 3_600_000_000_000;
     let (purged, in_group, other) = ("00000000000000a1", "00000000000000a2", "00000000000000a3");
     let shim = Shim::build().expect("the shim can be built with a C compiler");
     for (name, steps_ns) in
@@ -227,6 +231,12 @@
     plays.into_iter().for_each(|play| play.join().expect("the play ends"));
 }
 
+/// The present Unix time in milliseconds.
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is past 1970");
+    now.as_millis() as u64
+}
+
 /// The metrics of a process.
 fn telemetry(process: &ScriptedFront) -> String {
     send_admin_command(&admin_address(process), "telemetry\n")
@@ -352,3 +362,66 @@
     deployment.wait_until_used("c1");
     assert_eq!(deployment.requests_for("c2", drained + DRAIN_GRACE), 0, "late requests at c2");
 }
+
+/// A node that started cold shortly before the loss of the bus stays in slow start at the next process, also if
+/// the wall clock is stepped in between: it is sent no more than twice what it can do by the ramp, where the
+/// other nodes are sent what they can do.
+#[test]
+fn a_node_in_slow_start_stays_in_it_at_the_next_process() {
+    let shim = Shim::build().expect("the shim can be built with a C compiler");
+    for (name, step_ns) in [("slow-start", 0), ("slow-start-step", HOUR_NS)] {
+        let faults = shim.create_fault_settings(name, 1).expect("a file can be created");
+        faults.set_fault(MachineFault::WallOffsetNs, step_ns).expect("the fault can be set");
+        let deployment = Deployment::new(name);
+        let mut old = deployment.start_process();
+        let _clients = deployment.start_clients();
+        deployment.wait_until_used("c1");
+        let started = Instant::now();
+        let list = json!({"full": false, "servers": [deployment.entry("c1", "Ready", unix_ms())]});
+        deployment.bus.publish(&format!("\"topology\":{list}"));
+        old.wait_for_log("bus offset=2");
+        std::thread::sleep(Duration::from_millis(300));
+        deployment.bus.set_reachable(Reachable::Nobody);
+        let _new = deployment.start_process_with(&faults.environment_variables());
+        old.signal("TERM");
+        let _ = old.child.wait();
+        let replaced = Instant::now();
+        std::thread::sleep(WATCH_TIME);
+        let rule = |key| deployment.configuration["settings"]["rules"][key].as_f64().expect("a number");
+        let age_ms = started.elapsed().as_secs_f64() * 1000.0;
+        let from = rule("start_capacity");
+        let fraction = from + (1.0 - from) * age_ms / rule("warm_up_ms");
+        let [cold, warm] = [&["c1"][..], &["c2", "c3", "c4"]].map(|ids| {
+            let requests: usize = ids.iter().map(|id| deployment.requests_for(id, replaced)).sum();
+            requests as f64 / ids.len() as f64
+        });
+        assert!(
+            cold > 0.0 && cold <= rule("tip_multiple") * fraction * warm,
+            "{name}: {cold} requests at the node that started {age_ms:.0} ms ago, {warm:.0} at each other one"
+        );
+    }
+}
+
+/// Both processes of a replacement store the same event at the same moment. The one that finds the file locked
+/// waited for a second, and might have been killed before it stored a later event.
+#[test]
+fn a_checkpoint_is_stored_as_soon_as_the_other_process_releases_the_lock() {
+    let deployment = Deployment::new("locked");
+    let mut process = deployment.start_process();
+    let publish = |state| deployment.publish_states(&[("c1", state)]);
+    publish("Terminating");
+    wait_until("a checkpoint is stored", || stored_checkpoints(&process) == 1);
+    let lock_path = std::fs::read_dir(deployment.folder.path()).expect("the folder can be read").flatten();
+    let lock_path =
+        lock_path.map(|file| file.path()).find(|path| path.extension().is_some_and(|e| e == "watch-lock"));
+    let lock = fernslip_front::file_lock::try_lock(&lock_path.expect("the lock file exists"));
+    let lock = lock.expect("the lock is free");
+    publish("Ready");
+    process.wait_for_log("bus offset=3");
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(stored_checkpoints(&process), 1, "checkpoints that were stored without the lock");
+    drop(lock);
+    let released = Instant::now();
+    wait_until("the second checkpoint is stored", || stored_checkpoints(&process) == 2);
+    assert!(released.elapsed() < DRAIN_GRACE, "stored {:?} after the lock was released", released.elapsed());
+}
--- a/crates/front/src/control/checkpoint_service.rs
+++ b/crates/front/src/control/checkpoint_service.rs
@@ -12,10 +12,11 @@
 use super::watch_checkpoint::{self, CheckpointPurge, EncodedNodes, WatchCheckpoint};
 use super::watch_history::WatchHistory;
 use super::watch_state::{ReportedPurge, WatchPosition};
+use crate::failure::retry_with_backoff;
 use crate::shared::SharedState;
 use fernslip::{CacheId, Phase};
 use std::collections::BTreeMap;
-use std::io;
+use std::io::{self, ErrorKind};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -25,6 +26,8 @@
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval at which a checkpoint with recent starts or purges is stored again, because their ages change.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(2);
+/// How long storing is retried while another process has locked the file.
+const LOCK_RETRY_PERIOD: Duration = Duration::from_millis(500);
 /// The pause after a failure to store a checkpoint.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// The minimum pause between two checkpoints; longer than the resolution of modification times.
@@ -242,7 +245,11 @@
             watch_checkpoint::encode(file.identity(), *position, nodes, start_ages_ms, purges)?;
         let has_ages = !start_ages_ms.is_empty() || !purges.is_empty();
         self.refresh_at = has_ages.then(|| Instant::now() + REFRESH_INTERVAL);
-        file.store(*position, &[header.as_bytes(), &content], &front.names)
+        // The other process stores the same event at the same moment, and has the lock for some milliseconds.
+        let is_locked = |e: &io::Error| e.kind() == ErrorKind::WouldBlock;
+        retry_with_backoff(LOCK_RETRY_PERIOD, is_locked, |_| {
+            file.store(*position, &[header.as_bytes(), &content], &front.names)
+        })
     }
 
     /// Captures the present state and encodes its nodes, if they have changed. `None` if there is no state that
