--- a/crates/front/src/control/checkpoint_file/tests.rs
+++ b/crates/front/src/control/checkpoint_file/tests.rs
@@ -38,9 +38,9 @@
 
 fn store(process: &CheckpointFile, position: WatchPosition) -> io::Result<StoreOutcome> {
     let nodes = EncodedNodes::new(&[], &names()).expect("an empty list can be written as JSON");
-    let (header, content) = encode(process.identity(), position, &nodes, &BTreeMap::new(), &[])
+    let first_lines = encode(process.identity(), position, &nodes, &BTreeMap::new(), &[])
         .expect("a checkpoint can be written as JSON");
-    process.store(position, &[header.as_bytes(), &content], &names())
+    process.store(position, &[first_lines.as_bytes(), nodes.as_bytes()], &names())
 }
 
 fn stored(process: &CheckpointFile) -> Option<WatchPosition> {
--- a/crates/front/src/control/checkpoint_service.rs
+++ b/crates/front/src/control/checkpoint_service.rs
@@ -241,14 +241,13 @@
         let Some(capture) = self.capture()? else { return Ok(StoreOutcome::NothingToStore) };
         let Some((_, nodes)) = &self.encoded_nodes else { return Ok(StoreOutcome::NothingToStore) };
         let Capture { position, start_ages_ms, purges, .. } = &capture;
-        let (header, content) =
-            watch_checkpoint::encode(file.identity(), *position, nodes, start_ages_ms, purges)?;
+        let first_lines = watch_checkpoint::encode(file.identity(), *position, nodes, start_ages_ms, purges)?;
         let has_ages = !start_ages_ms.is_empty() || !purges.is_empty();
         self.refresh_at = has_ages.then(|| Instant::now() + REFRESH_INTERVAL);
         // The other process stores the same event at the same moment, and has the lock for some milliseconds.
         let is_locked = |e: &io::Error| e.kind() == ErrorKind::WouldBlock;
         retry_with_backoff(LOCK_RETRY_PERIOD, is_locked, |_| {
-            file.store(*position, &[header.as_bytes(), &content], &front.names)
+            file.store(*position, &[first_lines.as_bytes(), nodes.as_bytes()], &front.names)
         })
     }
 
--- a/crates/front/src/control/watch_checkpoint.rs
+++ b/crates/front/src/control/watch_checkpoint.rs
@@ -1,16 +1,15 @@
 //! The checkpoint of the discovery watch: what a process that replaces this one needs to continue where this
 //! one is, as bytes. Uses no files.
 //!
-//! A checkpoint begins with the line `fernslip watch VERSION LENGTH CHECKSUM`: the version of the format, the
-//! length of the rest in bytes, and its CRC-32C in hexadecimal. The rest is one JSON object:
+//! A checkpoint has three lines:
 //!
-//! | key | value |
-//! | --- | --- |
-//! | `deployment`, `numbering` | the [identity](CheckpointIdentity) of the event stream |
-//! | `generation`, `offset` | the [position](WatchPosition) of the last event that it contains |
-//! | `topology` | the complete endpoint list, as the event bus sends one; departed nodes are included |
-//! | `start_ages_ms` | for each node that started recently, how long ago, in milliseconds |
-//! | `purges` | the recent purges: position, `url` or `tag` as the event bus sends them, `age_ms` |
+//! 1. `fernslip watch VERSION LENGTH CHECKSUM`: the version of the format, the length of the other lines in
+//!    bytes, and their CRC-32C in hexadecimal.
+//! 2. A JSON object with the keys `deployment` and `numbering`, the [identity](CheckpointIdentity) of the event
+//!    stream; `generation` and `offset`, the [position](WatchPosition) of the last event that the checkpoint
+//!    contains; `start_ages_ms`, for each node that started recently, how long ago; and `purges`, the recent
+//!    purges with their positions, `url` or `tag` as the event bus sends them, and `age_ms`.
+//! 3. The complete endpoint list, as the event bus sends one under `topology`; departed nodes are included.
 //!
 //! Ages are counted by the monotonic clock of the process that writes, up to the time of writing. They are
 //! lower bounds for a reader, whatever happens to the wall clock in between.
@@ -25,8 +24,9 @@
 use fernslip_view::Id;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
-use serde_json::{json, Value};
+use serde_json::Value;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// The first words of a checkpoint.
 const FORMAT_NAME: &str = "fernslip watch";
@@ -66,29 +66,35 @@
     #[error("line 1: format version {0}; this release reads version {FORMAT_VERSION}")]
     Version(u32),
     /// The content is longer or shorter than the first line says.
-    #[error("the content has {found} bytes; line 1 says {expected}")]
+    #[error("lines 2 and 3 have {found} bytes; line 1 says {expected}")]
     Length {
         /// The length that the first line gives, in bytes.
         expected: usize,
         /// The length of the content, in bytes.
         found: usize,
     },
-    /// The content does not have the checksum of the first line.
-    #[error("the content has the checksum {found:08x}; line 1 says {expected:08x}")]
+    /// The content does not have the checksum that the first line gives.
+    #[error("lines 2 and 3 have the checksum {found:08x}; line 1 says {expected:08x}")]
     Checksum {
         /// The checksum that the first line gives.
         expected: u32,
         /// The checksum of the content.
         found: u32,
     },
-    /// The content is not valid JSON, or a key is missing or has an invalid value.
-    #[error("the content is not valid: {0}")]
-    Content(#[from] serde_json::Error),
+    /// There is no third line.
+    #[error("line 3 is missing")]
+    Lines,
+    /// The second line is not valid JSON, or a key is missing or has an invalid value.
+    #[error("line 2: {0}")]
+    State(serde_json::Error),
+    /// The third line is not valid JSON.
+    #[error("line 3: {0}")]
+    EndpointListText(serde_json::Error),
     /// The endpoint list is not valid.
-    #[error("topology: {0}")]
+    #[error("line 3: {0}")]
     EndpointList(JsonError),
     /// A purge is not valid.
-    #[error("purges[{0}]: {1}")]
+    #[error("line 2: purges[{0}]: {1}")]
     Purge(usize, JsonError),
     /// The checkpoint belongs to another event stream.
     #[error("it belongs to another {0}")]
@@ -123,8 +129,20 @@
 
 /// The encoded endpoint list of a checkpoint, which is kept for as long as the nodes do not change.
 #[derive(Debug)]
-pub struct EncodedNodes(Box<RawValue>);
+pub struct EncodedNodes(String);
 
+/// The second line of a checkpoint.
+#[derive(Serialize, Deserialize)]
+struct StateLine {
+    deployment: String,
+    numbering: String,
+    generation: u64,
+    offset: u64,
+    start_ages_ms: BTreeMap<String, f64>,
+    purges: Vec<PurgeText>,
+}
+
+/// A purge in the second line.
 #[derive(Serialize, Deserialize)]
 struct PurgeText {
     generation: u64,
@@ -135,16 +153,24 @@
     age_ms: f64,
 }
 
-#[derive(Serialize, Deserialize)]
-struct Content<'a> {
-    deployment: String,
-    numbering: String,
-    generation: u64,
-    offset: u64,
-    start_ages_ms: BTreeMap<String, f64>,
-    purges: Vec<PurgeText>,
-    #[serde(borrow)]
-    topology: &'a RawValue,
+/// The third line of a checkpoint, as it is written.
+#[derive(Serialize)]
+struct EndpointListLine<'a> {
+    full: bool,
+    servers: Vec<NodeText<'a>>,
+}
+
+/// The entry of a node, as the event bus sends it.
+#[derive(Serialize)]
+struct NodeText<'a> {
+    id: &'a str,
+    addr: Option<SocketAddr>,
+    zone: Option<&'a String>,
+    kind: Option<&'a String>,
+    cell: i64,
+    state: &'static str,
+    weight: f64,
+    started_ms: f64,
 }
 
 impl EncodedNodes {
@@ -153,29 +179,34 @@
     /// # Errors
     /// Returns an error if a value cannot be written as JSON.
     pub fn new(nodes: &[ListedNode], names: &Names) -> Result<EncodedNodes, serde_json::Error> {
-        let servers: Vec<Value> = nodes.iter().map(|node| node_entry(node, names)).collect();
-        serde_json::value::to_raw_value(&json!({"full": true, "servers": servers})).map(EncodedNodes)
+        let servers = nodes.iter().map(|node| NodeText::of(node, names)).collect();
+        serde_json::to_string(&EndpointListLine { full: true, servers }).map(EncodedNodes)
+    }
+
+    /// The third line of a checkpoint, without its end.
+    pub fn as_bytes(&self) -> &[u8] {
+        self.0.as_bytes()
     }
 }
 
-/// The entry of a node, as the event bus sends it.
-fn node_entry(node: &ListedNode, names: &Names) -> Value {
-    let entry = &node.entry;
-    let state = match entry.phase {
-        Phase::In => "Ready",
-        Phase::Draining => "Terminating",
-        Phase::Out => "Gone",
-    };
-    json!({
-        "id": &*entry.cache.0,
-        "addr": node.addr.map(|addr| addr.to_string()),
-        "zone": entry.zone.and_then(|zone| names.zones.get(zone)),
-        "kind": entry.kind.and_then(|kind| names.kinds.get(kind)),
-        "cell": entry.cell,
-        "state": state,
-        "weight": entry.weight,
-        "started_ms": entry.started_ms,
-    })
+impl NodeText<'_> {
+    fn of<'a>(node: &'a ListedNode, names: &'a Names) -> NodeText<'a> {
+        let entry = &node.entry;
+        NodeText {
+            id: &entry.cache.0,
+            addr: node.addr,
+            zone: entry.zone.and_then(|zone| names.zones.get(zone)),
+            kind: entry.kind.and_then(|kind| names.kinds.get(kind)),
+            cell: entry.cell,
+            state: match entry.phase {
+                Phase::In => "Ready",
+                Phase::Draining => "Terminating",
+                Phase::Out => "Gone",
+            },
+            weight: entry.weight,
+            started_ms: entry.started_ms,
+        }
+    }
 }
 
 impl PurgeText {
@@ -200,7 +231,7 @@
     }
 }
 
-/// Encodes a checkpoint: its first line and its content.
+/// Encodes a checkpoint up to the end of its second line; the encoded nodes are the third.
 ///
 /// # Errors
 /// Returns an error if a value cannot be written as JSON.
@@ -210,18 +241,19 @@
     nodes: &EncodedNodes,
     start_ages_ms: &BTreeMap<CacheId, f64>,
     purges: &[CheckpointPurge],
-) -> Result<(String, Vec<u8>), serde_json::Error> {
-    let content = serde_json::to_vec(&Content {
+) -> Result<String, serde_json::Error> {
+    let state = serde_json::to_string(&StateLine {
         deployment: identity.deployment.clone(),
         numbering: identity.numbering.clone(),
         generation: position.generation,
         offset: position.offset,
         start_ages_ms: start_ages_ms.iter().map(|(id, age)| (id.0.to_string(), *age)).collect(),
         purges: purges.iter().map(PurgeText::of).collect(),
-        topology: &nodes.0,
     })?;
-    let checksum = crc32c::crc32c(&content);
-    Ok((format!("{FORMAT_NAME} {FORMAT_VERSION} {} {checksum:08x}\n", content.len()), content))
+    let state = state + "\n";
+    let checksum = crc32c::crc32c_append(crc32c::crc32c(state.as_bytes()), nodes.as_bytes());
+    let length = state.len() + nodes.as_bytes().len();
+    Ok(format!("{FORMAT_NAME} {FORMAT_VERSION} {length} {checksum:08x}\n{state}"))
 }
 
 /// Decodes the checkpoint of the event stream with this identity. `names` are those of the front's settings.
@@ -233,23 +265,27 @@
     identity: &CheckpointIdentity,
     names: &Names,
 ) -> Result<WatchCheckpoint, CheckpointError> {
-    let content: Content<'_> = serde_json::from_slice(checked_content(bytes)?)?;
-    if content.deployment != identity.deployment {
+    let content = checked_content(bytes)?;
+    let state_end = content.iter().position(|b| *b == b'\n').ok_or(CheckpointError::Lines)?;
+    let state: StateLine = serde_json::from_slice(&content[..state_end]).map_err(CheckpointError::State)?;
+    if state.deployment != identity.deployment {
         return Err(CheckpointError::OtherStream("front or deployment"));
     }
-    if content.numbering != identity.numbering {
+    if state.numbering != identity.numbering {
         return Err(CheckpointError::OtherStream("start of the front, with a numbering of its own"));
     }
-    let nodes = match watch_event::parse_endpoint_list(content.topology, names) {
+    let list: &RawValue =
+        serde_json::from_slice(&content[state_end + 1..]).map_err(CheckpointError::EndpointListText)?;
+    let nodes = match watch_event::parse_endpoint_list(list, names) {
         Ok(WatchEvent::EndpointList { nodes, .. }) => nodes,
         Ok(_) => Vec::new(),
         Err(e) => return Err(CheckpointError::EndpointList(e)),
     };
-    let purges = content.purges.iter().enumerate();
+    let purges = state.purges.iter().enumerate();
     let purges = purges.map(|(n, purge)| purge.parse().map_err(|e| CheckpointError::Purge(n, e)));
-    let ages = content.start_ages_ms.into_iter();
+    let ages = state.start_ages_ms.into_iter();
     Ok(WatchCheckpoint {
-        position: WatchPosition { generation: content.generation, offset: content.offset },
+        position: WatchPosition { generation: state.generation, offset: state.offset },
         nodes,
         start_ages_ms: ages.map(|(id, age)| (CacheId::from(id.as_str()), age)).collect(),
         purges: purges.collect::<Result<_, _>>()?,
--- a/crates/front/src/control/watch_checkpoint/tests.rs
+++ b/crates/front/src/control/watch_checkpoint/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use fernslip::Entry;
+use serde_json::json;
 
 const POSITION: WatchPosition = WatchPosition { generation: 1, offset: 41 };
 
@@ -43,18 +44,18 @@
     let purge = |object, group| CheckpointPurge { position: POSITION, object, group, age_ms: 250.5 };
     let purges = [purge(Some(ObjectId(0x7f3a_9c21_e0b4_d655)), 0), purge(None, 17)];
     let ages = BTreeMap::from([(CacheId::from("in"), 1500.0)]);
-    let (header, content) =
+    let first_lines =
         encode(&identity(), POSITION, &nodes, &ages, &purges).expect("a checkpoint can be written as JSON");
-    [header.as_bytes(), &content].concat()
+    [first_lines.as_bytes(), nodes.as_bytes()].concat()
 }
 
-/// A checkpoint with another content, and the length and checksum of that content.
-fn with_content(change: impl Fn(&mut Value)) -> Vec<u8> {
-    let bytes = encoded();
-    let start = bytes.iter().position(|b| *b == b'\n').expect("there is a first line") + 1;
-    let mut content: Value = serde_json::from_slice(&bytes[start..]).expect("the content is JSON");
-    change(&mut content);
-    let content = content.to_string();
+/// A checkpoint whose second and third line are changed, with their length and checksum.
+fn with_lines(change: impl Fn(&mut [Value; 2])) -> Vec<u8> {
+    let text = String::from_utf8(encoded()).expect("a checkpoint is text");
+    let lines: Vec<&str> = text.lines().collect();
+    let mut values = [1, 2].map(|line| serde_json::from_str(lines[line]).expect("the line is JSON"));
+    change(&mut values);
+    let content = format!("{}\n{}", values[0], values[1]);
     let checksum = crc32c::crc32c(content.as_bytes());
     format!("{FORMAT_NAME} {FORMAT_VERSION} {} {checksum:08x}\n{content}", content.len()).into_bytes()
 }
@@ -107,19 +108,16 @@
     assert_eq!(refusal(b"fernslip excluded 1\n"), "line 1 is not `fernslip watch VERSION LENGTH CHECKSUM`");
     let later = text.replacen("watch 1 ", "watch 2 ", 1);
     assert_eq!(refusal(later.as_bytes()), "line 1: format version 2; this release reads version 1");
-    let rows: [(&str, Value, &str); 5] = [
-        ("deployment", "1".into(), "it belongs to another front or deployment"),
-        ("numbering", "1".into(), "it belongs to another start of the front, with a numbering of its own"),
-        ("topology", json!({"servers": [{"id": "a"}]}), "topology: state is missing or not a string"),
-        (
-            "purges",
-            json!([{"generation": 0, "offset": 1, "url": "x", "tag": 0, "age_ms": 1}]),
-            "purges[0]: url is missing or not 16 hex digits",
-        ),
-        ("offset", json!(-1), "the content is not valid: invalid value: integer `-1`, expected u64"),
+    let bad_purge = json!([{"generation": 0, "offset": 1, "url": "x", "tag": 0, "age_ms": 1}]);
+    let rows: [(usize, &str, Value, &str); 5] = [
+        (0, "deployment", "1".into(), "it belongs to another front or deployment"),
+        (0, "numbering", "1".into(), "it belongs to another start of the front, with a numbering of its own"),
+        (0, "purges", bad_purge, "line 2: purges[0]: url is missing or not 16 hex digits"),
+        (0, "offset", json!(-1), "line 2: invalid value: integer `-1`, expected u64"),
+        (1, "servers", json!([{"id": "a"}]), "line 3: state is missing or not a string"),
     ];
-    for (key, value, reason) in rows {
-        let refused = refusal(&with_content(|content| content[key] = value.clone()));
+    for (line, key, value, reason) in rows {
+        let refused = refusal(&with_lines(|lines| lines[line][key] = value.clone()));
         assert!(refused.starts_with(reason), "{key}: {refused}");
     }
 }
@@ -127,10 +125,11 @@
 /// The next release may add keys to each object; this one has to read its checkpoints.
 #[test]
 fn keys_of_a_later_release_are_ignored() {
-    let bytes = with_content(|content| {
-        content["later"] = json!({"a": [1]});
-        content["topology"]["servers"][0]["later"] = json!(1);
-        content["purges"][0]["later"] = json!(null);
+    let bytes = with_lines(|[state, list]| {
+        state["later"] = json!({"a": [1]});
+        state["purges"][0]["later"] = json!(null);
+        list["later"] = json!("x");
+        list["servers"][0]["later"] = json!(1);
     });
     let checkpoint = decode(&bytes, &identity(), &names()).expect("the checkpoint is valid");
     assert_eq!((checkpoint.nodes.len(), checkpoint.purges.len()), (3, 2));
