Test: replacements of a front with a pool

Cause: dispatch queues with a pool get the nodes from the pool and not from the list; that path had been read, not shown.

Change: two plays of replacement.rs have a site document with a pool.

--- a/crates/cli/tests/common/replaceable.rs
+++ b/crates/cli/tests/common/replaceable.rs
@@ -41,6 +41,25 @@
     ("o1", "north", "origin"),
 ];
 
+/// A site document with a pool; the addresses are those that the event bus lists.
+const SITE_WITH_POOL: &str = r#"site "s" members-from="bus"
+zone "north"
+zone "edge-1"
+member "c1" address="127.0.0.1:1"
+member "c2" address="127.0.0.1:1"
+member "c3" address="127.0.0.1:1"
+member "c4" address="127.0.0.1:1"
+pool "all" {
+    use "c1"
+    use "c2"
+    use "c3"
+    use "c4"
+}
+routes order="longest" {
+    route "/" pool="all"
+}
+"#;
+
 /// A front whose process can be replaced, with its cache nodes, its event bus and its clients' socket.
 pub struct Deployment {
     pub nodes: BTreeMap<&'static str, Node>,
@@ -48,6 +67,8 @@
     pub socket: TcpListener,
     pub folder: tempfile::TempDir,
     pub configuration: Json,
+    /// The site document, if the front has one.
+    site: Option<PathBuf>,
     /// The number of processes started so far.
     started: AtomicU64,
 }
@@ -58,8 +79,15 @@
         let bus = EventBus::start(1);
         let socket = TcpListener::bind("127.0.0.1:0").expect("a loopback port can be bound");
         let folder = tempfile::tempdir().expect("a temporary folder can be created");
-        let mut deployment =
-            Deployment { nodes, bus, socket, folder, configuration: Json::Null, started: AtomicU64::new(0) };
+        let mut deployment = Deployment {
+            nodes,
+            bus,
+            socket,
+            folder,
+            configuration: Json::Null,
+            site: None,
+            started: AtomicU64::new(0),
+        };
         let unused: SocketAddr = ([127, 0, 0, 1], 1).into();
         let servers = ["a", "b", "bus"].into_iter().map(|server| (server, ScriptedServer::new()));
         let mut configuration = test_configuration(&servers.collect(), unused);
@@ -74,6 +102,15 @@
         deployment
     }
 
+    /// Like [`Deployment::new`], with a site document whose only pool has the cache nodes as members.
+    pub fn with_pool(name: &str) -> Deployment {
+        let mut deployment = Deployment::new(name);
+        let file = deployment.folder.path().join("site.kdl");
+        std::fs::write(&file, SITE_WITH_POOL).expect("the site document can be written");
+        deployment.site = Some(file);
+        deployment
+    }
+
     pub fn client_address(&self) -> String {
         self.socket.local_addr().expect("the socket is bound").to_string()
     }
@@ -97,6 +134,9 @@
         let fd = OwnedFd::from(self.socket.try_clone().expect("the socket can be duplicated"));
         let change = |c: &mut Json| *c = self.configuration.clone();
         ScriptedFront::start_prepared(&name, Vec::new(), change, |command| {
+            if let Some(site) = &self.site {
+                command.args(["run", "--site"]).arg(site);
+            }
             command
                 .env("TMPDIR", self.folder.path())
                 .env("RELAY_OPS", "127.0.0.1:0")
--- a/crates/cli/tests/replacement.rs
+++ b/crates/cli/tests/replacement.rs
@@ -57,15 +57,17 @@
     told_before_loss: Duration,
     old: OldProcess,
     replacements: usize,
+    has_pool: bool,
 }
 
-const OUTAGES: [Outage; 8] = {
+const OUTAGES: [Outage; 10] = {
     const USUAL: Outage = Outage {
         name: "drain",
         told: &[("c1", "Terminating")],
         told_before_loss: Duration::from_millis(1000),
         old: OldProcess::Terminated,
         replacements: 1,
+        has_pool: false,
     };
     [
         USUAL,
@@ -76,13 +78,16 @@
         Outage { name: "killed", old: OldProcess::KilledAfterwards, ..USUAL },
         Outage { name: "killed-before", old: OldProcess::KilledBefore, ..USUAL },
         Outage { name: "four", replacements: 4, ..USUAL },
+        Outage { name: "pool", has_pool: true, ..USUAL },
+        Outage { name: "pool-gone", told: &[("c1", "Gone"), ("p1", "Gone")], has_pool: true, ..USUAL },
     ]
 };
 
 /// Plays an outage; returns the number of requests for the nodes that were taken out, after the grace, and
 /// checks that a node which is ready again is used again.
 fn play(outage: &Outage) -> usize {
-    let deployment = Deployment::new(outage.name);
+    let make_deployment = if outage.has_pool { Deployment::with_pool } else { Deployment::new };
+    let deployment = make_deployment(outage.name);
     let mut process = deployment.start_process();
     let _clients = deployment.start_clients();
     outage.told.iter().for_each(|(id, _)| deployment.wait_until_used(id));
