Front: the discovery watch reports to a trait, and no longer uses the shared state

Cause: discovery_watch.rs had grown to the connection, the history and the application of events, and imported the shared state that contains it; startup.rs had the known endpoints among its phases.

Change: watch_updates.rs applies events to a front (trait WatchHost), and known_endpoints.rs has the endpoints that a front starts with. One module fewer may import itself through others: source_layout.rs lists four instead of five, so it is stricter. retain_nodes compares with a set, not with each id of the list. No other behaviour changes.

Measured: replacement, endings, machine, handover, transcripts, source_layout and architecture_doc pass.

--- a/crates/cli/tests/source_layout.rs
+++ b/crates/cli/tests/source_layout.rs
@@ -24,15 +24,10 @@
     "trouble", "turn", "turns", "weigh", "weighs", "welcome", "whole", "width", "word", "words", "worth",
 ];
 
-/// The modules that may import each other: the front's shared state contains the server and the discovery
-/// watch, and both use the rest of that state.
-const MUTUAL_IMPORTS: [&str; 5] = [
-    "front: clients::connection",
-    "front: clients::forward",
-    "front: clients::server",
-    "front: control::discovery_watch",
-    "front: shared",
-];
+/// The modules that may import each other: the front's shared state contains the server, which uses the rest of
+/// that state.
+const MUTUAL_IMPORTS: [&str; 4] =
+    ["front: clients::connection", "front: clients::forward", "front: clients::server", "front: shared"];
 
 /// A source file of a crate, outside tests.
 struct SourceFile {
--- a/crates/front/src/control/checkpoint_service.rs
+++ b/crates/front/src/control/checkpoint_service.rs
@@ -8,10 +8,10 @@
 //! written, a warning is logged and storing is retried.
 
 use super::checkpoint_file::{CheckpointFile, LoadError, StoreOutcome};
-use super::discovery_watch;
 use super::watch_checkpoint::{self, CheckpointPurge, EncodedNodes, WatchCheckpoint};
 use super::watch_history::WatchHistory;
 use super::watch_state::{ReportedPurge, WatchPosition};
+use super::watch_updates;
 use crate::failure::retry_with_backoff;
 use crate::shared::SharedState;
 use fernslip::{CacheId, Phase};
@@ -100,10 +100,10 @@
             at_ms: now - age_ms.max(0.0),
         })
         .collect();
-    new_purges.iter().for_each(|purge| discovery_watch::apply_purge(front, purge));
+    new_purges.iter().for_each(|purge| watch_updates::apply_purge(front, purge));
     history.advance_to_other(position, &nodes, new_purges);
     let present = nodes.into_iter().filter(|node| node.entry.phase != Phase::Out).collect();
-    discovery_watch::apply_endpoint_list(front, true, present, None);
+    watch_updates::apply_endpoint_list(front, true, present, None);
     front.bus.set_position(position);
 }
 
--- a/crates/front/src/control/discovery_watch.rs
+++ b/crates/front/src/control/discovery_watch.rs
@@ -2,8 +2,8 @@
 //! numbered events.
 
 use super::node_starts::NodeStarts;
-use super::watch_event::{ListedNode, WatchEvent};
-use super::watch_state::{ReportedPurge, WatchPosition};
+use super::watch_event::WatchEvent;
+use super::watch_state::WatchPosition;
 use crate::buffer::Buffer;
 use crate::clock::Clock;
 use crate::event_loop::Quantum;
@@ -11,11 +11,10 @@
 use crate::link::{InputSettings, Link};
 use crate::log::Reason;
 use crate::memory::MemoryAccount;
-use crate::reason_counts::EventKind;
-use crate::shared::SharedState;
+use crate::reason_counts::{EventKind, ReasonCounts};
 use crate::sync::lock;
 use crate::watch_history::{ReceivedLine, WatchHistory};
-use fernslip::{CacheId, Phase};
+use fernslip::json::Names;
 use may::net::TcpStream;
 use rand::{Rng, SeedableRng};
 use std::io::ErrorKind;
@@ -51,126 +50,21 @@
     RECONNECT_DELAY.mul_f64(rng.random_range(0.5..1.5))
 }
 
-/// Applies an event to the dispatchers and the upstream connections, and records it in the history. `since`
-/// is the clock time in milliseconds at which the last line before the event was received, so the event was
-/// reported after it; `None` if no line was received before.
-pub fn apply_event(front: &SharedState, history: &mut WatchHistory, event: WatchEvent, since: Option<f64>) {
-    match event {
-        WatchEvent::Unknown => {}
-        WatchEvent::Purge { object, group, unix_ms } => {
-            // Before the first line nothing bounds the time of the purge from below; the current time is the
-            // safe choice.
-            let earliest = since.unwrap_or_else(|| front.clock.now());
-            let at_ms = front.wall_clock.to_clock_time(unix_ms, earliest);
-            let purge = ReportedPurge { position: history.position(), object, group, at_ms };
-            apply_purge(front, &purge);
-            history.state().record_purge(purge);
-        }
-        WatchEvent::EndpointList { full, nodes } => apply_endpoint_list(front, full, nodes, since),
-    }
-}
+/// The front that a discovery watch reports to.
+pub trait WatchHost {
+    /// The names in the settings, by which events refer to zones and kinds.
+    fn names(&self) -> &Names;
 
-/// Applies a purge to the dispatchers.
-pub fn apply_purge(front: &SharedState, purge: &ReportedPurge) {
-    let now = front.clock.now();
-    for queue in front.queues.as_slice() {
-        queue.dispatcher.purged(now, purge.object, purge.group, now - purge.at_ms);
-    }
-}
+    /// The monotonic clock.
+    fn clock(&self) -> &Clock;
 
-/// Applies an endpoint list to the dispatchers and the upstream connections; see [`apply_event`].
-pub fn apply_endpoint_list(front: &SharedState, full: bool, nodes: Vec<ListedNode>, since: Option<f64>) {
-    // The members come from the site document, so the bus's endpoint lists are ignored.
-    if front.queues.members_from_file() {
-        return;
-    }
-    if let Some(gossip) = &front.gossip {
-        // Gossip gets start times in Unix time, because all fronts must identify a node by the same start
-        // time.
-        let starts = nodes.iter().map(|ListedNode { entry, .. }| {
-            (entry.cache.clone(), Some(entry.started_ms).filter(|_| entry.phase != Phase::Out))
-        });
-        gossip.update_nodes(front.queues.as_slice(), full, starts.collect());
-    }
-    let mut entries = Vec::new();
-    for ListedNode { mut entry, addr } in nodes {
-        entry.started_ms =
-            front.bus.starts.clock_time(&front.wall_clock, &entry.cache, entry.started_ms, since);
-        match (entry.phase, addr) {
-            (Phase::Out, _) => front.upstream.remove_node(&entry.cache),
-            (_, Some(addr)) => front.upstream.add_node(entry.cache.clone(), addr, entry.started_ms),
-            (_, None) => {
-                tracing::warn!("bus: cache node {} is listed without a usable address", entry.cache.0);
-            }
-        }
-        entries.push(entry);
-    }
-    if full {
-        let ids: Vec<CacheId> = entries.iter().map(|e| e.cache.clone()).collect();
-        front.upstream.retain_nodes(&ids);
-    }
-    front.queues.apply_endpoint_list(&front.clock, full, entries);
-    let queues = front.queues.as_slice();
-    front.bus.starts.drop_unlisted_over_limit(|id| queues.iter().any(|queue| queue.dispatcher.is_listed(id)));
-    if full {
-        front.endpoints_listed.store(true, Ordering::Release);
-    }
-}
-
-/// Processes one line from the bus and applies the event in it, if any.
-///
-/// # Errors
-/// Returns the errors of [`WatchHistory::receive`].
-fn receive_line(front: &SharedState, history: &mut WatchHistory, line: &[u8]) -> Result<(), Reason> {
-    match history.receive(line, &front.names)? {
-        ReceivedLine::NothingNew => {}
-        ReceivedLine::Event(offset, event) => {
-            apply_event(front, history, event, front.bus.last_line_ms(&front.clock));
-            front.bus.report_change(history.position());
-            tracing::info!("bus offset={offset}");
-        }
-        ReceivedLine::Unreadable(offset, e) => {
-            front.bus.unusable_lines.fetch_add(1, Ordering::Relaxed);
-            front.bus.report_change(history.position());
-            tracing::warn!("bus: event {offset} cannot be parsed and is skipped: {e}");
-        }
-    }
-    Ok(())
-}
+    /// The counters of closed connections.
+    fn reason_counts(&self) -> &ReasonCounts;
 
-/// Processes the complete lines in the buffer until the quantum is used up. The buffer's first `scanned` bytes
-/// are known to contain no line end.
-/// Returns whether any line proves that the bus is alive; partial and blank lines do not.
-///
-/// # Errors
-/// Returns the errors of [`WatchHistory::receive`], and [`Reason::Malformed`] for a line longer than
-/// [`MAX_LINE_BYTES`] or than its limit of memory allows.
-fn receive_lines(
-    front: &SharedState,
-    buffer: &mut Buffer,
-    scanned: &mut usize,
-    quantum: &mut Quantum,
-) -> Result<bool, Reason> {
-    let mut history = front.bus.lock_history_in_coroutine();
-    let mut proves_liveness = false;
-    while !quantum.is_used_up() {
-        let line_end = buffer.data()[*scanned..].iter().position(|b| *b == b'\n');
-        let Some(at) = line_end else {
-            *scanned = buffer.data().len();
-            break;
-        };
-        quantum.count_message();
-        let end = *scanned + at;
-        receive_line(front, &mut history, &buffer.data()[..end])?;
-        proves_liveness |= !buffer.data()[..end].iter().all(u8::is_ascii_whitespace);
-        buffer.consume(end + 1);
-        *scanned = 0;
-    }
-    buffer.store();
-    match *scanned > MAX_LINE_BYTES || buffer.account().is_exceeded() {
-        true => Err(Reason::Malformed),
-        false => Ok(proves_liveness),
-    }
+    /// Applies an event to the dispatchers and the upstream connections, and records it in the history.
+    /// `since` is the clock time in milliseconds at which the last line before the event was received, so the
+    /// event was reported after it; `None` if no line was received before.
+    fn apply_event(&self, history: &mut WatchHistory, event: WatchEvent, since: Option<f64>);
 }
 
 /// Connects to the event bus.
@@ -327,8 +221,70 @@
         }
     }
 
+    /// Processes one line from the bus and applies the event in it, if any.
+    ///
+    /// # Errors
+    /// Returns the errors of [`WatchHistory::receive`].
+    fn receive_line(
+        &self,
+        host: &impl WatchHost,
+        history: &mut WatchHistory,
+        line: &[u8],
+    ) -> Result<(), Reason> {
+        match history.receive(line, host.names())? {
+            ReceivedLine::NothingNew => {}
+            ReceivedLine::Event(offset, event) => {
+                host.apply_event(history, event, self.last_line_ms(host.clock()));
+                self.report_change(history.position());
+                tracing::info!("bus offset={offset}");
+            }
+            ReceivedLine::Unreadable(offset, e) => {
+                self.unusable_lines.fetch_add(1, Ordering::Relaxed);
+                self.report_change(history.position());
+                tracing::warn!("bus: event {offset} cannot be parsed and is skipped: {e}");
+            }
+        }
+        Ok(())
+    }
+
+    /// Processes the complete lines in the buffer until the quantum is used up. The buffer's first `scanned` bytes
+    /// are known to contain no line end.
+    /// Returns whether any line proves that the bus is alive; partial and blank lines do not.
+    ///
+    /// # Errors
+    /// Returns the errors of [`WatchHistory::receive`], and [`Reason::Malformed`] for a line longer than
+    /// [`MAX_LINE_BYTES`] or than its limit of memory allows.
+    fn receive_lines(
+        &self,
+        host: &impl WatchHost,
+        buffer: &mut Buffer,
+        scanned: &mut usize,
+        quantum: &mut Quantum,
+    ) -> Result<bool, Reason> {
+        let mut history = self.lock_history_in_coroutine();
+        let mut proves_liveness = false;
+        while !quantum.is_used_up() {
+            let line_end = buffer.data()[*scanned..].iter().position(|b| *b == b'\n');
+            let Some(at) = line_end else {
+                *scanned = buffer.data().len();
+                break;
+            };
+            quantum.count_message();
+            let end = *scanned + at;
+            self.receive_line(host, &mut history, &buffer.data()[..end])?;
+            proves_liveness |= !buffer.data()[..end].iter().all(u8::is_ascii_whitespace);
+            buffer.consume(end + 1);
+            *scanned = 0;
+        }
+        buffer.store();
+        match *scanned > MAX_LINE_BYTES || buffer.account().is_exceeded() {
+            true => Err(Reason::Malformed),
+            false => Ok(proves_liveness),
+        }
+    }
+
     /// Connects once and receives events until the connection ends; returns the reason to log for its end.
-    fn watch_one_connection(&self, front: &SharedState, addr: SocketAddr) -> Reason {
+    fn watch_one_connection(&self, host: &impl WatchHost, addr: SocketAddr) -> Reason {
         let stream = match connect_to_bus(addr) {
             Ok(stream) => stream,
             Err(reason) => return reason,
@@ -347,7 +303,7 @@
         link.send(format!("from {offset}\n").into_bytes(), None);
         let (mut scanned, mut has_received) = (0, false);
         let receive = |buffer: &mut Buffer, quantum: &mut Quantum| {
-            if receive_lines(front, buffer, &mut scanned, quantum)? {
+            if self.receive_lines(host, buffer, &mut scanned, quantum)? {
                 let mut state = lock(&self.state);
                 (state.last_received, state.last_line) = (Some(Instant::now()), Some(Instant::now()));
                 state.silence_timeout = SILENCE_TIMEOUT;
@@ -368,18 +324,18 @@
     }
 
     /// Watches the bus for as long as the process runs, starting after the last event received.
-    pub fn run(&self, front: &SharedState) {
+    pub fn run(&self, host: &impl WatchHost) {
         for attempt in 0.. {
             let addr = lock(&self.state).addr;
             // A panic ends only this connection, not the watch; without the watch the front would receive no
             // further endpoint changes or purges.
-            let ended = catch_unwind(AssertUnwindSafe(|| self.watch_one_connection(front, addr)));
+            let ended = catch_unwind(AssertUnwindSafe(|| self.watch_one_connection(host, addr)));
             let reason = ended.unwrap_or_else(|_| {
                 lock(&self.state).link.terminate();
                 Reason::Panicked
             });
             let offset = self.lock_history_in_coroutine().offset();
-            front.reason_counts.add(EventKind::BusClosed, reason.code());
+            host.reason_counts().add(EventKind::BusClosed, reason.code());
             let malformed = u64::from(reason == Reason::Malformed);
             let unusable = self.unusable_lines.fetch_add(malformed, Ordering::Relaxed) + malformed;
             tracing::info!(kind = %"bus", %addr, reason = %reason.code(), offset, odd = unusable, "end");
--- a/crates/front/src/startup.rs
+++ b/crates/front/src/startup.rs
@@ -10,9 +10,9 @@
 use crate::control::checkpoint_service::{self, CheckpointSettings};
 use crate::control::deployment_files::DeploymentFiles;
 use crate::control::evidence::EvidenceQueue;
+use crate::control::known_endpoints;
 use crate::control::watch_checkpoint::CheckpointIdentity;
-use crate::control::watch_event;
-use crate::discovery_watch::{self, DiscoveryWatch};
+use crate::discovery_watch::DiscoveryWatch;
 use crate::dispatch_host::DispatchHost;
 use crate::event_loop;
 use crate::failure::{retry_with_backoff, Failure};
@@ -42,9 +42,8 @@
 use crate::view::ViewService;
 use crate::wall_clock::WallClock;
 use crate::{admin, gossip, listen, sleep, view};
-use fernslip::facade::EndpointCounts;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -88,7 +87,7 @@
     let front = build_shared_state(config, &serving, plan, core, peer_services)?;
     admin::restore_manual_exclusions(&front);
     checks.exclusions_restored = true;
-    load_known_endpoints(&front, &serving);
+    known_endpoints::load(&front, &serving.known_events);
     spawn_services(&front, &serving)?;
     if origin == Origin::Inherited {
         tracing::info!(
@@ -324,48 +323,6 @@
     }))
 }
 
-/// Registers the endpoints that the site document lists, and those that the checkpoint of an earlier process or
-/// else the configuration lists.
-fn load_known_endpoints(front: &SharedState, serving: &ServingConfig) {
-    front.queues.apply_initial_members(&front.clock, &front.upstream);
-    front.announce_members();
-    if front.gossip.is_some() {
-        front.queues.as_slice().iter().for_each(|q| q.dispatcher.enable_evidence());
-    }
-    if front.queues.members_from_file() {
-        front.endpoints_listed.store(true, Ordering::Release);
-    }
-    let restored =
-        front.checkpoint_file.as_ref().is_some_and(|file| checkpoint_service::restore(front, file));
-    if !restored {
-        apply_known_events(front, &serving.known_events);
-    }
-    log_endpoints_at_start(front);
-}
-
-/// Applies the bus events that the configuration contains.
-fn apply_known_events(front: &SharedState, events: &[serde_json::Value]) {
-    let mut history = front.bus.lock_history();
-    for event in events {
-        match watch_event::parse_event(event, &front.names) {
-            Ok(event) => {
-                history.record_nodes(&event);
-                discovery_watch::apply_event(front, &mut history, event, None);
-            }
-            Err(e) => tracing::warn!("ignoring an event in the configuration's `known` list: {e}"),
-        }
-    }
-}
-
-/// Logs what the front starts with, so that a node which is used although it drains can be traced to the
-/// list that the process started from or to a later event.
-fn log_endpoints_at_start(front: &SharedState) {
-    let offset = front.bus.lock_history().offset();
-    let counts = front.queues.as_slice().first().map(|queue| queue.dispatcher.endpoint_counts());
-    let EndpointCounts { listed, draining } = counts.unwrap_or_default();
-    tracing::info!(listed, draining, offset, "endpoints at start");
-}
-
 /// Starts the coroutines and threads that communicate with other fronts and with the event bus.
 fn spawn_services(front: &Arc<SharedState>, serving: &ServingConfig) -> Result<(), StartError> {
     if let Some(gossip) = front.gossip.clone() {
@@ -379,7 +336,7 @@
     }
     if serving.has_bus {
         let f = front.clone();
-        spawn_with_deep_stack(move || f.bus.run(&f));
+        spawn_with_deep_stack(move || f.bus.run(&*f));
         checkpoint_service::spawn(front.clone(), serving.checkpoints).map_err(StartError::Thread)?;
     }
     if let Some(peers) = front.peers.clone() {
--- a/crates/front/src/upstream/connection_pool.rs
+++ b/crates/front/src/upstream/connection_pool.rs
@@ -18,7 +18,7 @@
 use crate::upstream::upstream_memory::UpstreamMemory;
 use fernslip::facade::Attempt;
 use fernslip::{CacheId, Ending, RequestId};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -130,7 +130,9 @@
 
     /// Removes all nodes except those with these ids.
     pub fn retain_nodes(&self, ids: &[CacheId]) {
-        let departed: Vec<CacheId> = lock(&self.nodes).keys().filter(|k| !ids.contains(k)).cloned().collect();
+        let listed: HashSet<&CacheId> = ids.iter().collect();
+        let departed: Vec<CacheId> =
+            lock(&self.nodes).keys().filter(|id| !listed.contains(id)).cloned().collect();
         departed.iter().for_each(|id| self.remove_node(id));
     }
 
