Front: a call that waits for memory is granted it once, whichever worker it runs on

Callers of the program saw nothing: it has one worker.

Cause: AnswerMemory::grant woke a call and then removed the calls that have memory from the list. On another worker the call had taken its memory by then, stayed in the list, was granted some again, and the reservation was dropped under the lock that its drop takes.

Change: granted calls are remembered and removed before they are woken.

--- a/crates/front/src/clients/answer_memory.rs
+++ b/crates/front/src/clients/answer_memory.rs
@@ -192,16 +192,22 @@
         let mut in_order: Vec<(usize, &Arc<WaitingCall>)> =
             waiting.calls.iter().map(|call| (memory_of(&*call.connection), call)).collect();
         in_order.sort_by_key(|(used, _)| *used);
+        let mut granted: Vec<Arc<WaitingCall>> = Vec::new();
         for (_, call) in in_order {
             if !self.account_has_left(call.bytes) {
                 break;
             }
             if self.admits(&*call.connection, call.bytes) {
                 *lock(&call.granted) = Some(self.reserve(&call.connection, call.bytes));
-                call.blocker.unpark();
+                granted.push(call.clone());
             }
         }
-        waiting.calls.retain(|call| lock(&call.granted).is_none());
+        // A call that is woken may take its memory at once on another worker, so it must not be looked up by
+        // that memory, nor be in the list any more.
+        waiting.calls.retain(|call| !granted.iter().any(|other| Arc::ptr_eq(call, other)));
+        for call in granted {
+            call.blocker.unpark();
+        }
     }
 
     fn account_has_left(&self, bytes: usize) -> bool {
--- a/crates/front/src/clients/answer_memory/tests.rs
+++ b/crates/front/src/clients/answer_memory/tests.rs
@@ -122,3 +122,33 @@
     queued.resize(memory.queue_limit - 100_000);
     assert!(!answer.fits(240_000) && answer.fits(50_000));
 }
+
+/// A call that another worker grants memory to may take it and end at once. The grant then found it without
+/// memory, granted it some again, and dropped that under the lock that the drop takes: the worker waited for
+/// itself.
+#[test]
+fn a_call_that_takes_its_memory_at_once_is_granted_it_once() {
+    const ROUNDS: usize = 20_000;
+    let memory = new_memory();
+    let workers: Vec<_> = (0..4)
+        .map(|_| {
+            let memory = memory.clone();
+            std::thread::spawn(move || {
+                let connection = new_connection();
+                for _ in 0..ROUNDS {
+                    let deadline = Instant::now() + Duration::from_secs(5);
+                    drop(memory.acquire(&connection, LONGEST_KB, &Caller::default(), deadline));
+                }
+            })
+        })
+        .collect();
+    let mut queued = Reservation::new(memory.account.clone());
+    queued.resize(memory.admission_limit - answer_memory(240_000));
+    let ends_by = Instant::now() + Duration::from_secs(20);
+    while workers.iter().any(|worker| !worker.is_finished()) {
+        assert!(Instant::now() < ends_by, "a worker waits for itself");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    drop(queued);
+    assert_eq!((memory.account.used(), lock(&memory.waiting).calls.len()), (0, 0));
+}
