Front: ages in a restored checkpoint are kept up to date for the next process

Cause: a process that restored a checkpoint and was told nothing more never stored one. The next process took a purge for as recent as it was when the first one had stored it, and refused copies that are younger; a node would have begun its slow start again.

Change: each process refreshes the checkpoint 2 s after it has restored or adopted one, and every 2 s while it has ages. The tests wait for the stored offset instead of a count.

--- a/crates/cli/tests/common/replaceable.rs
+++ b/crates/cli/tests/common/replaceable.rs
@@ -161,11 +161,23 @@
         self.nodes[id].requests_after(at).len() + filled
     }
 
-    /// The path of the file in which the processes store their checkpoints.
-    pub fn checkpoint_path(&self) -> PathBuf {
+    /// The path of the file with that extension that the processes share; `None` if there is none.
+    pub fn shared_file(&self, extension: &str) -> Option<PathBuf> {
         let files = std::fs::read_dir(self.folder.path()).expect("the folder can be read");
         let mut paths = files.flatten().map(|file| file.path());
-        paths.find(|path| path.extension().is_some_and(|e| e == "watch")).expect("a checkpoint is stored")
+        paths.find(|path| path.extension().is_some_and(|e| e == extension))
+    }
+
+    /// The offset of the stored checkpoint.
+    pub fn stored_offset(&self) -> Option<u64> {
+        let text = std::fs::read_to_string(self.shared_file("watch")?).ok()?;
+        serde_json::from_str::<Json>(text.lines().nth(1)?).ok()?["offset"].as_u64()
+    }
+
+    /// Waits until a checkpoint of the event with this offset is stored, and returns its path.
+    pub fn wait_until_stored(&self, offset: u64) -> PathBuf {
+        wait_until(&format!("event {offset} is stored"), || self.stored_offset() == Some(offset));
+        self.shared_file("watch").expect("a checkpoint is stored")
     }
 
     /// Sends one call for an object of a group, and returns the fields of the request that a node received
--- a/crates/cli/tests/replacement.rs
+++ b/crates/cli/tests/replacement.rs
@@ -189,6 +189,33 @@
     }
 }
 
+/// A process that is handed a purge and is told nothing more keeps its age up to date for the next one. That one
+/// took the purge for as recent as it was when the first process stored it, and refused younger copies.
+#[test]
+fn the_age_of_a_purge_grows_while_nothing_is_reported() {
+    /// How long the second process runs.
+    const QUIET_TIME: Duration = Duration::from_secs(6);
+    /// The interval at which ages are stored, and the margin of the rule on purges.
+    const OUTDATED_BY: Duration = Duration::from_millis(2000 + 1000);
+    let deployment = Deployment::new("quiet");
+    let mut first = deployment.start_process();
+    let told = Instant::now();
+    deployment.bus.publish(&format!("\"ban\":{}", json!({"url": "00000000000000a1", "ts": unix_ms()})));
+    first.wait_for_log("bus offset=2");
+    deployment.bus.set_reachable(Reachable::Nobody);
+    let second = replace(&deployment, first, OldProcess::Terminated);
+    std::thread::sleep(QUIET_TIME);
+    let age = told.elapsed();
+    let _third = replace(&deployment, second, OldProcess::KilledAfterwards);
+    let fields = deployment.fields_of_call("00000000000000a1", "1");
+    let oldest: u64 = fields.get("fresh").expect("the purge is known").parse().expect("an age is a number");
+    let oldest = Duration::from_millis(oldest);
+    assert!(
+        oldest <= told.elapsed() && oldest + OUTDATED_BY >= age,
+        "copies of {oldest:?}, purged {age:?} ago"
+    );
+}
+
 /// A checkpoint that does not fit is refused, and the front starts from its configuration: the node that the
 /// bus had set to draining is in use until the bus tells it again.
 #[test]
@@ -212,8 +239,7 @@
             let _clients = deployment.start_clients();
             deployment.publish_states(&[("c1", "Terminating")]);
             old.wait_for_log("bus offset=2");
-            wait_until("a checkpoint is stored", || stored_checkpoints(&old) > 0);
-            let path = deployment.checkpoint_path();
+            let path = deployment.wait_until_stored(2);
             let bytes = std::fs::read(&path).expect("the checkpoint can be read");
             deployment.bus.set_reachable(Reachable::Nobody);
             old.signal("KILL");
@@ -271,7 +297,7 @@
         let _clients = deployment.start_clients();
         deployment.publish_states(&[("c1", "Terminating")]);
         old.wait_for_log("bus offset=2");
-        wait_until("a checkpoint is stored", || stored_checkpoints(&old) > 0);
+        deployment.wait_until_stored(2);
         deployment.bus.set_reachable(Reachable::Nobody);
         old.signal("KILL");
         let _ = old.child.wait();
@@ -303,9 +329,9 @@
     old.wait_for_log("no checkpoint is stored in ");
     std::thread::sleep(WATCH_TIME);
     assert_eq!(deployment.requests_for("c1", told + DRAIN_GRACE), 0, "late requests while the disk fails");
-    assert_eq!(stored_checkpoints(&old), 0);
+    assert_ne!(deployment.stored_offset(), Some(2), "the event is not stored while the disk fails");
     faults.clear_rates().expect("the faults can be cleared");
-    wait_until("a checkpoint is stored", || stored_checkpoints(&old) > 0);
+    deployment.wait_until_stored(2);
     assert_eq!(clients.counts.other.load(Ordering::SeqCst), 0, "calls that were not served");
     deployment.bus.set_reachable(Reachable::Nobody);
     let _new = replace(&deployment, old, OldProcess::KilledAfterwards);
@@ -415,18 +441,17 @@
     let mut process = deployment.start_process();
     let publish = |state| deployment.publish_states(&[("c1", state)]);
     publish("Terminating");
-    wait_until("a checkpoint is stored", || stored_checkpoints(&process) == 1);
-    let lock_path = std::fs::read_dir(deployment.folder.path()).expect("the folder can be read").flatten();
-    let lock_path =
-        lock_path.map(|file| file.path()).find(|path| path.extension().is_some_and(|e| e == "watch-lock"));
-    let lock = fernslip_front::file_lock::try_lock(&lock_path.expect("the lock file exists"));
+    deployment.wait_until_stored(2);
+    let stored_before = stored_checkpoints(&process);
+    let lock_file = deployment.shared_file("watch-lock").expect("the lock file exists");
+    let lock = fernslip_front::file_lock::try_lock(&lock_file);
     let lock = lock.expect("the lock is free");
     publish("Ready");
     process.wait_for_log("bus offset=3");
     std::thread::sleep(Duration::from_millis(100));
-    assert_eq!(stored_checkpoints(&process), 1, "checkpoints that were stored without the lock");
+    assert_eq!(stored_checkpoints(&process), stored_before, "nothing is stored without the lock");
     drop(lock);
     let released = Instant::now();
-    wait_until("the second checkpoint is stored", || stored_checkpoints(&process) == 2);
+    deployment.wait_until_stored(3);
     assert!(released.elapsed() < DRAIN_GRACE, "stored {:?} after the lock was released", released.elapsed());
 }
--- a/crates/front/src/control/checkpoint_service.rs
+++ b/crates/front/src/control/checkpoint_service.rs
@@ -121,7 +121,8 @@
         settings,
         encoded_nodes: None,
         change_pending: false,
-        refresh_at: None,
+        // The ages in a restored checkpoint change too.
+        refresh_at: Some(Instant::now() + REFRESH_INTERVAL),
         store_not_before: Instant::now(),
         last_error: None,
     };
@@ -197,6 +198,8 @@
         if position > applied && !checkpoint.nodes.is_empty() {
             adopt(&front, &mut history, checkpoint, Some(applied));
             file.count_adopted();
+            // The other process may end, and its checkpoint would then not be refreshed any more.
+            self.refresh_at = Some(Instant::now() + REFRESH_INTERVAL);
             tracing::info!(offset = position.offset, "watch: applied the checkpoint of another process");
         }
     }
@@ -238,6 +241,7 @@
 
     fn store_in(&mut self, file: &CheckpointFile) -> io::Result<StoreOutcome> {
         let front = self.front.clone();
+        self.refresh_at = None;
         let Some(capture) = self.capture()? else { return Ok(StoreOutcome::NothingToStore) };
         let Some((_, nodes)) = &self.encoded_nodes else { return Ok(StoreOutcome::NothingToStore) };
         let Capture { position, start_ages_ms, purges, .. } = &capture;
